--- /dev/null
+++ b/sabledyke/__main__.py
@@ -0,0 +1,69 @@
+"""sabledyke, an I/O scheduler for storage nodes.
+
+Usage:
+  sabledyke [serve]
+  sabledyke check-config
+  sabledyke version
+  sabledyke (-h | --help)
+
+Commands:
+  serve         Serve until SIGTERM; the default.
+  check-config  Read the configuration, say what it holds, and end.
+  version       Print the version.
+
+The environment says what to serve: GW_CONFIG names the JSON file of settings; GW_NAME, GW_LISTEN and
+GW_DISCOVERY win over what the file says.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from sabledyke import config
+
+VERSION = "0.1.0"
+
+
+def serve(settings: config.Config) -> None:
+    """Run one scheduler."""
+    import asyncio
+
+    from sabledyke.net.server import Server
+
+    async def run() -> None:
+        await Server(settings).run()
+
+    asyncio.run(run())
+
+
+def main(arguments: list[str]) -> int:
+    """Run one command; 0 for success, 2 for a configuration that cannot be used."""
+    command = "serve"
+    if arguments:  # a plain start spares the time that reading the command line takes
+        from docopt import docopt
+
+        said = docopt(__doc__, arguments)
+        command = next((c for c in ("check-config", "version") if said[c]), "serve")
+    if command == "version":
+        print(f"sabledyke {VERSION}")
+        return 0
+    try:
+        settings = config.load(os.environ)
+    except config.ConfigError as fault:
+        print(f"sabledyke: {fault}", file=sys.stderr)
+        return 2
+    if command == "check-config":
+        known = settings.known.news.entries if settings.known else ()
+        print(
+            f"{settings.name}: listens at {settings.listen[0]}:{settings.listen[1]}, "
+            f"{len(known)} nodes known, {len(settings.settings.classes)} classes, "
+            f"{len(settings.settings.plans)} plans"
+        )
+        return 0
+    serve(settings)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/sabledyke/config.py
@@ -0,0 +1,77 @@
+"""What a scheduler is told: the platform's environment and JSON, and an operator's file."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from sabledyke import interface as api
+from sabledyke.protocol.discovery import ListError, Listing, address, read
+from sabledyke.settings import SettingsError, build, flatten
+
+PREFIX = "GW_"
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text is the one line that says why."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """Everything ``serve`` needs."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: Listing | None
+    settings: api.Settings
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration the environment points to; its variables win over the file."""
+    path = environ.get(PREFIX + "CONFIG")
+    if not path:
+        raise ConfigError(f"{PREFIX}CONFIG is not set: it names the JSON file with the settings")
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+    except OSError as fault:
+        raise ConfigError(f"{path}: {fault.strerror}") from None
+    except orjson.JSONDecodeError as fault:
+        raise ConfigError(f"{path}: no JSON: {fault}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: not an object")
+    try:
+        return _config(data, environ)
+    except (SettingsError, ListError, ValueError) as fault:
+        raise ConfigError(f"{path}: {fault}") from None
+
+
+def _config(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    def said(name: str) -> str:
+        text = environ.get(PREFIX + name.upper()) or data.get(name)
+        if not isinstance(text, str) or not text:
+            raise ConfigError(f"{name} is missing: set {PREFIX}{name.upper()} or say it in the file")
+        return text
+
+    if not isinstance(data.get("settings"), dict):
+        raise ConfigError("settings are missing from the file")
+    settings = build(dict(flatten(data["settings"])))
+    limits, known = data.get("limits") or {}, data.get("known")
+    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
+    if not isinstance(sockets, int) or sockets < 64:
+        raise ConfigError(f"limits.sockets must be a whole number from 64 up, not {sockets!r}")
+    return Config(
+        name=said("name"),
+        listen=address(said("listen")),
+        discovery=address(said("discovery")),
+        seed=int(str(data.get("seed", "0")), 16),
+        sockets=sockets,
+        known=None if known is None else read(known, settings, cached=True),
+        settings=settings,
+    )
--- /dev/null
+++ b/sabledyke/core.py
@@ -0,0 +1,263 @@
+"""The life of a request between a front and the boxes, in no wire's terms.
+
+Fronts hand in ``Work`` and get one ``Answer`` each; transports start and cancel attempts and report one
+``Ended`` each; ``Scheduler.handle`` decides. No wire, socket or clock is known here: every call says what
+time it is, in milliseconds, and the driver calls ``turn`` when events wait or a timer is due.
+"""
+
+from __future__ import annotations
+
+import heapq
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from sabledyke import interface as api
+from sabledyke import log
+from sabledyke.interface import Outcome
+from sabledyke.invariants import check
+from sabledyke.rules import Scheduler
+
+# The client must have its answer inside its deadline, which it counts from when it sent: the core answers
+# this long before, and attempts end earlier still, so that their time-outs reach the module first.
+GUARD, CUT = 30.0, 60.0
+
+
+class Verdict(Enum):
+    """How a request ended."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Work:
+    """What a client asks; ``remaining`` is how long it still waits, ``token`` its idempotency key."""
+
+    class_: int
+    plan: int
+    volume: int
+    key: int
+    units: float
+    shard: int
+    hosts: float
+    remaining: float
+    repeated: bool
+    write: bool
+    ident: str
+    token: str = ""
+    method: str = ""  # as an HTTP client wrote them; empty from other fronts
+    target: str = ""
+    body: bytes = b""
+    length: int = 0  # bytes a read wants, where the front's wire says so
+    ran: tuple[float, api.NodeEntry] | None = None  # a former life sent it then, there
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The one final answer; ``retry_after`` in milliseconds, 0 for no advice."""
+
+    verdict: Verdict
+    body: bytes = b""
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """How an attempt ended, and whether it may have run."""
+
+    outcome: Outcome
+    may_have_run: bool
+    body: bytes = b""
+    used_percent: int = 0
+    others_units: int = 0
+    load: tuple[float, ...] = ()
+
+
+class Transport(Protocol):
+    """Carries attempts to boxes; reports each once through ``Core.ended``, never from inside a call."""
+
+    def start(self, rid: int, number: int, node: api.NodeId, work: Work, timeout: float) -> None:
+        """Start an attempt that may take ``timeout`` milliseconds."""
+
+    def cancel(self, rid: int, number: int) -> None:
+        """Give up an attempt; an unknown one is ignored."""
+
+    def close_idle(self, node: api.NodeId) -> None:
+        """Close idle connections to a node."""
+
+
+class Lists(Protocol):
+    """Discovery, as the core asks it; it reports through ``Core.listed``."""
+
+    def watch(self, on: bool) -> None:
+        """Watch for changes from now on, or stop."""
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+
+
+@dataclass(slots=True)
+class _Open:
+    """A request taken and not yet forgotten."""
+
+    work: Work
+    deadline: float
+    done: Callable[[Answer], None]
+    answered: bool = False
+    attempts: int = 0
+    out: dict[int, tuple[float, api.NodeId]] = field(default_factory=dict)
+
+
+class Core:
+    """Feeds the module batches of events and carries out its actions."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, transport: Transport, lists: Lists,
+        wake: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.scheduler = Scheduler(settings, seed)
+        self.transport, self.lists, self._wake = transport, lists, wake
+        self._events: list[api.Event] = []
+        self._timers: list[tuple[float, int, int]] = []  # when, module's token or -1, request of a guard
+        self._open: dict[int, _Open] = {}
+        self._ids = 0
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that are still owed an answer."""
+        return sum(not r.answered for r in self._open.values())
+
+    def submit(self, now: float, work: Work, done: Callable[[Answer], None]) -> int:
+        """Take a request; ``done`` is called once, and never from inside this call."""
+        self._ids += 1
+        rid = self._ids
+        deadline = now + work.remaining
+        self._open[rid] = _Open(work, deadline, done)
+        heapq.heappush(self._timers, (deadline - GUARD, -1, rid))
+        self._event(api.Request(
+            rid, work.class_, work.plan, work.key, work.remaining, work.volume, work.units, work.shard,
+            work.hosts, work.repeated, work.write,
+        ))  # fmt: skip
+        return rid
+
+    def depart(self, rid: int) -> None:
+        """The client is gone: nothing is owed any more."""
+        request = self._open.get(rid)
+        if request is not None and not request.answered:
+            request.answered = True
+            self._event(api.Departed(rid))
+            self._forget(rid)
+
+    def ended(self, now: float, rid: int, number: int, end: Ended) -> None:
+        """An attempt's one outcome."""
+        request = self._open.get(rid)
+        if not check(request is not None and number in request.out, "one outcome per attempt", f"{rid}"):
+            return
+        assert request is not None
+        sent, node = request.out.pop(number)
+        if end.outcome is Outcome.OK and not request.answered:
+            self._answer(rid, Answer(Verdict.SERVED, end.body))
+        self._event(api.Attempted(
+            rid, node, number, end.outcome, request.answered, now - sent, end.used_percent,
+            end.others_units, end.load,
+        ))  # fmt: skip
+        self._forget(rid)
+
+    def listed(self, news: api.NodeList) -> None:
+        """News of the list of nodes."""
+        self._event(news)
+
+    def due(self) -> float | None:
+        """When ``turn`` must be called next, if no event comes before."""
+        return self._timers[0][0] if self._timers else None
+
+    def turn(self, now: float) -> None:
+        """Hand the module all that has come in, and do what it says."""
+        late = []
+        while self._timers and self._timers[0][0] <= now:
+            _, token, rid = heapq.heappop(self._timers)
+            if token >= 0:
+                self._events.append(api.TimerFired(token))
+            elif rid in self._open and not self._open[rid].answered:
+                late.append(rid)
+        events, self._events = self._events, []
+        if events:
+            try:
+                actions = self.scheduler.handle(now, events)
+            except Exception:  # guards against a fault in a decision ending the program with all it took
+                log.say("fault", traceback.format_exc())
+                check(False, "the module decides without a fault")
+                actions = []
+            for action in actions:
+                self._carry_out(now, action)
+        # Guards against a module that keeps silent: the client still gets its one answer in time.
+        for rid in late:
+            request = self._open.get(rid)
+            if request is not None and not request.answered:
+                self._answer(rid, Answer(Verdict.FAILED))
+                self._event(api.Departed(rid))
+                self._forget(rid)
+                check(False, "every request is answered by the module in time", f"request {rid}")
+
+    def _event(self, event: api.Event) -> None:
+        if not self._events:
+            self._wake()
+        self._events.append(event)
+
+    def _carry_out(self, now: float, action: api.Action) -> None:
+        match action:
+            case api.Send(rid, node, timeout):
+                self._send(now, rid, node, timeout)
+            case api.Refuse(rid, after):
+                self._finish(rid, Answer(Verdict.REFUSED, retry_after=after))
+            case api.Fail(rid):
+                self._finish(rid, Answer(Verdict.FAILED))
+            case api.Cancel(rid, number):
+                if rid in self._open and number in self._open[rid].out:
+                    self.transport.cancel(rid, number)
+            case api.SetTimer(token, delay):
+                heapq.heappush(self._timers, (now + delay, token, 0))
+            case api.WatchList(on):
+                self.lists.watch(on)
+            case api.FetchList():
+                self.lists.fetch()
+            case api.CloseIdle(node):
+                self.transport.close_idle(node)
+            case api.Log(text):
+                log.say("module", text)
+            case _:
+                check(False, "the module asks only for what is allowed here", repr(action))
+
+    def _send(self, now: float, rid: int, node: api.NodeId, timeout: float) -> None:
+        request = self._open.get(rid)
+        if not check(request is not None and not request.answered, "no send after the end", f"{rid}"):
+            return
+        assert request is not None
+        number, request.attempts = request.attempts, request.attempts + 1
+        left = request.deadline - CUT - now
+        request.out[number] = now, node
+        if number >= self.settings.max_attempts or left <= 0:
+            self.ended(now, rid, number, Ended(Outcome.MOOT, False))
+            return
+        self.transport.start(rid, number, node, request.work, min(timeout, left) if timeout else left)
+
+    def _finish(self, rid: int, answer: Answer) -> None:
+        if rid in self._open and not self._open[rid].answered:
+            self._answer(rid, answer)
+            self._forget(rid)
+
+    def _answer(self, rid: int, answer: Answer) -> None:
+        request = self._open[rid]
+        check(not request.answered, "one final answer", f"request {rid}")
+        request.answered = True
+        request.done(answer)
+
+    def _forget(self, rid: int) -> None:
+        request = self._open.get(rid)
+        if request is not None and request.answered and not request.out:
+            del self._open[rid]
--- a/larkspur/interface.py
+++ b/sabledyke/interface.py
@@ -120,6 +120,9 @@
     tells_others: bool
     meter_period: float
     report_fields: tuple[str, ...]
+    kinds: tuple[str, ...] = ()
+    connect_timeout: float = 250.0  # a connection not up by then has failed
+    idle_timeout: float = 15000.0  # nodes close connections idle for this long
 
     def __post_init__(self) -> None:
         """Raise a ValueError that names the first value no site can mean."""
--- /dev/null
+++ b/sabledyke/log.py
@@ -0,0 +1,43 @@
+"""Lines for the on-call staff: print to standard error, limited per kind of message.
+
+Every line reads ``sabledyke KIND: TEXT``; ``docs/ONCALL.md`` lists the kinds.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from time import monotonic
+
+BURST, WINDOW = 10, 10.0  # lines of one kind in so many seconds; what is over is counted
+
+
+class Limiter:
+    """Lets ``burst`` lines of a kind through in each window and says how many it kept back."""
+
+    def __init__(self, clock: Callable[[], float] = monotonic, burst: int = BURST, window: float = WINDOW):
+        self._clock, self._burst, self._window = clock, burst, window
+        self._kinds: dict[str, tuple[float, int]] = {}  # kind: when its window began, lines asked for in it
+
+    def lines(self, kind: str, text: str) -> list[str]:
+        """What to print now for this message: nothing, it, or it after a count of those left out."""
+        now = self._clock()
+        began, count = self._kinds.get(kind, (now, 0))
+        out = []
+        if now - began >= self._window:
+            if count > self._burst:
+                out.append(f"sabledyke {kind}: {count - self._burst} more like the last left out")
+            began, count = now, 0
+        self._kinds[kind] = began, count + 1
+        if count < self._burst:
+            out.append(f"sabledyke {kind}: {text}")
+        return out
+
+
+_limiter = Limiter()
+
+
+def say(kind: str, text: str) -> None:
+    """Print one line, unless its kind has said too much lately."""
+    for line in _limiter.lines(kind, text):
+        print(line, file=sys.stderr, flush=True)
--- /dev/null
+++ b/sabledyke/net/watch.py
@@ -0,0 +1,90 @@
+"""The watch on discovery: one call after the other, as long as the module wants it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from sabledyke import interface as api
+from sabledyke import log
+from sabledyke.net import streams
+from sabledyke.protocol.discovery import ListError, Listing, parse, target
+from sabledyke.protocol.http import HttpError, Message, Parser, encode_request
+
+WAIT_MS, SPARE_MS = 20_000, 3_000  # how long a call may wait for news, and longer for its answer
+
+
+class Watch:
+    """Discovery as the core asks it."""
+
+    def __init__(
+        self, address: tuple[str, int], settings: api.Settings, since: int | None,
+        report: Callable[[Listing | None], None],
+    ) -> None:  # fmt: skip
+        self._address, self._settings, self._report = address, settings, report
+        self._since = since
+        self._task: asyncio.Task[None] | None = None
+        self._single: set[asyncio.Task[None]] = set()
+        self._stream: streams.IOStream | None = None
+
+    def watch(self, on: bool) -> None:
+        """See ``core.Lists``."""
+        if on and self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._watch())
+        elif not on and self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def fetch(self) -> None:
+        """See ``core.Lists``."""
+        task = asyncio.get_running_loop().create_task(self._fetch())
+        self._single.add(task)
+        task.add_done_callback(self._single.discard)
+
+    async def _fetch(self) -> None:
+        try:
+            stream = await streams.connect(self._address, self._settings.connect_timeout * 4)
+            try:
+                self._told(await self._call(stream, None))
+            finally:
+                streams.abort(stream)
+        except (streams.StreamClosedError, HttpError, ListError, OSError, TimeoutError) as fault:
+            self._failed(fault)
+
+    async def _watch(self) -> None:
+        """The next call follows the last answer at once: 200 ms after it, changes could be lost."""
+        stream: streams.IOStream | None = None
+        try:
+            while True:
+                if stream is None or not streams.quiet(stream):
+                    stream = await streams.connect(self._address, self._settings.connect_timeout * 4)
+                answer = await self._call(stream, self._since)
+                self._told(answer)
+                if not answer.keep_alive:
+                    streams.abort(stream)
+        except (streams.StreamClosedError, HttpError, ListError, OSError, TimeoutError) as fault:
+            self._task = None  # the module asks again, after a wait of its own
+            self._failed(fault)
+        finally:
+            if stream is not None:
+                streams.abort(stream)
+
+    async def _call(self, stream: streams.IOStream, since: int | None) -> Message:
+        host = f"{self._address[0]}:{self._address[1]}"
+        parser = Parser(responses=True)
+        async with asyncio.timeout((WAIT_MS + SPARE_MS) / 1000):
+            await stream.write(encode_request("GET", target(since, WAIT_MS), [("Host", host)], b""))
+            while (answer := parser.next()) is None:
+                parser.feed(await stream.read_bytes(streams.READ, partial=True))
+        if answer.status != 200:
+            raise HttpError(f"status {answer.status}")
+        return answer
+
+    def _told(self, answer: Message) -> None:
+        listing = parse(answer.body, self._settings)
+        self._since = listing.news.version
+        self._report(listing)
+
+    def _failed(self, fault: Exception) -> None:
+        log.say("discovery", f"a call failed: {fault or type(fault).__name__}")
+        self._report(None)
--- /dev/null
+++ b/sabledyke/protocol/discovery.py
@@ -0,0 +1,77 @@
+"""Discovery's lists: the calls to make, and what their answers say."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from sabledyke import interface as api
+
+PATH = "/catalog/members"
+_STATES = {"ready": api.NodeState.READY, "draining": api.NodeState.DRAINING, "gone": api.NodeState.GONE}
+
+
+class ListError(Exception):
+    """The text is no list of discovery's form."""
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """A list and where its nodes are to be dialled."""
+
+    news: api.NodeList
+    dials: dict[api.NodeId, tuple[str, int]]
+
+
+def target(since: int | None, wait_ms: int) -> str:
+    """The call for what is newer than a version, or for the whole list."""
+    return PATH if since is None else f"{PATH}?since={since}&timeout_ms={wait_ms}"
+
+
+def address(text: str) -> tuple[str, int]:
+    """A ``host:port``."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ListError(f"no address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read(data: object, settings: api.Settings, *, cached: bool = False) -> Listing:
+    """A list from JSON that is parsed already."""
+    try:
+        if not isinstance(data, dict):
+            raise ListError("the list is no object")
+        kind = api.ListKind.FULL if data["whole"] else api.ListKind.DELTA
+        entries, dials = [], {}
+        for host in data["hosts"]:
+            entry = _entry(host, settings)
+            entries.append(entry)
+            if entry.state is not api.NodeState.GONE:
+                dials[entry.node] = address(host["dial"])
+        news = api.NodeList(api.ListKind.CACHED if cached else kind, int(data["seq"]), tuple(entries))
+        return Listing(news, dials)
+    except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as fault:
+        raise ListError(f"the list lacks or garbles {fault}") from None
+
+
+def parse(text: bytes, settings: api.Settings) -> Listing:
+    """A list from the body of an answer."""
+    try:
+        return read(orjson.loads(text), settings)
+    except orjson.JSONDecodeError as fault:
+        raise ListError(f"the list is no JSON: {fault}") from None
+
+
+def _entry(host: dict[str, Any], settings: api.Settings) -> api.NodeEntry:
+    zone, kind = host.get("site"), host.get("class")
+    return api.NodeEntry(
+        node=host["host"].encode(),
+        shard=int(host["block"]),
+        zone=settings.zones.index(zone) if zone in settings.zones else -1,
+        kind=settings.kinds.index(kind) if kind in settings.kinds else -1,
+        started=float(host["born_ms"]),
+        weight=float(host["share"]),
+        state=_STATES[host["health"]],
+    )
--- /dev/null
+++ b/sabledyke/protocol/gateway.py
@@ -0,0 +1,102 @@
+"""What the platform's HTTP messages mean: requests of clients as Work, answers of boxes as Ended."""
+
+from __future__ import annotations
+
+import math
+import re
+
+from sabledyke import interface as api
+from sabledyke.core import Answer, Ended, Verdict, Work
+from sabledyke.interface import Outcome
+from sabledyke.protocol.http import HttpError, Message, encode_request, encode_response
+
+HEALTH = "/_health"
+_HEX16 = re.compile(r"[0-9a-fA-F]{1,16}")
+_REPORT = {"concurrent": "inflight", "mean_ms": "latency_ms", "depth": "queue", "load_share": "util",
+           "tps": "qps", "err_ps": "eps"}  # fmt: skip
+
+
+class Reader:
+    """Reads messages under one deployment's settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self._plans = {p.name: i for i, p in enumerate(settings.plans)}
+        self._fields = [_REPORT.get(name, name) for name in settings.report_fields]
+
+    def work(self, message: Message) -> Work:
+        """A client's request; an HttpError says what is wrong with it."""
+        headers = message.headers
+        kind, tier, ident = (headers.get(name, "") for name in ("req-kind", "tier", "req-id"))
+        if kind not in self._classes or tier not in self._plans or not ident:
+            raise HttpError("no known Req-Kind, Tier or Req-Id")
+        parts = message.target.partition("?")[0].split("/")
+        if len(parts) < 3 or not (_HEX16.fullmatch(parts[-1]) and _HEX16.fullmatch(parts[-2])):
+            raise HttpError("path names no volume and piece of data")
+        info = dict(p.strip().partition("=")[::2] for p in headers.get("io-info", "").split(","))
+        try:
+            units, shard = float(info.get("units", 1)), int(info.get("shard", -1))
+            hosts, remaining = float(info.get("hosts", 1)), 1000 * float(headers.get("req-deadline", "nan"))
+        except ValueError:
+            raise HttpError("malformed IO-Info or Req-Deadline") from None
+        if not (0 < units < math.inf and 1 <= hosts < math.inf and 0 < remaining < math.inf):
+            raise HttpError("IO-Info or Req-Deadline out of range")
+        return Work(
+            class_=self._classes[kind], plan=self._plans[tier], volume=int(parts[-2], 16),
+            key=int(parts[-1], 16), units=units, shard=shard, hosts=hosts, remaining=remaining,
+            repeated=headers.get("req-retry") == "1", write=message.method != "GET", ident=ident,
+            token=headers.get("idempotency-key", ""), method=message.method, target=message.target,
+            body=message.body,
+        )  # fmt: skip
+
+    def ended(self, message: Message) -> Ended:
+        """What a box's answer says of the attempt (PROTOCOL's table of outcomes)."""
+        headers = message.headers
+        if message.status == 200:
+            how, ran = Outcome.OK, True
+        elif message.status in (503, 504) and headers.get("srv-declined") == "1":
+            how, ran = Outcome.REJECTED, False
+        else:  # 500, and whatever else a box may say: it may have run
+            how, ran = Outcome.ERROR, True
+        used = _whole(headers.get("volume-load"))
+        return Ended(
+            how, ran, message.body, 0 if used is None else used + 1,
+            _whole(headers.get("other-hosts")) or 0, self._load(headers.get("srv-load", "")),
+        )  # fmt: skip
+
+    def _load(self, text: str) -> tuple[float, ...]:
+        if not text or not self._fields:
+            return ()
+        try:
+            said = dict(p.strip().partition("=")[::2] for p in text.removeprefix("TEXT").split(","))
+            return tuple(float(said[name]) for name in self._fields)
+        except (KeyError, ValueError):
+            return ()
+
+
+def _whole(text: str | None) -> int | None:
+    try:
+        return None if text is None else int(float(text))
+    except (ValueError, OverflowError):
+        return None
+
+
+def to_box(work: Work, address: str, timeout: float) -> bytes:
+    """The request as it goes to a box; what no HTTP client wrote gets the platform's form."""
+    headers = [("Host", address), ("Req-Id", work.ident), ("Req-Deadline", f"{timeout / 1000:.3f}")]
+    if work.token:
+        headers.append(("Idempotency-Key", work.token))
+    method = work.method or ("PUT" if work.write else "GET")
+    target = work.target or f"/api/{work.volume:016x}/{work.key:016x}"
+    return encode_request(method, target, headers, work.body)
+
+
+def to_client(answer: Answer, *, close: bool) -> bytes:
+    """The final answer as a client reads it."""
+    if answer.verdict is Verdict.SERVED:
+        return encode_response(200, body=answer.body, close=close)
+    if answer.verdict is Verdict.FAILED:
+        return encode_response(500, close=close)
+    advice = [("Retry-After", f"{answer.retry_after / 1000:.3f}")] if answer.retry_after > 0 else []
+    return encode_response(503, advice, close=close)
--- /dev/null
+++ b/sabledyke/protocol/http.py
@@ -0,0 +1,201 @@
+"""HTTP/1.1 as state machines that are fed bytes: requests on one side, responses on the other."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+MAX_HEAD, MAX_BODY = 16 * 1024, 64 * 1024
+MAX_INPUT = MAX_HEAD + 2 * MAX_BODY  # what may wait unparsed: a head and a body in small chunks
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_TARGET = re.compile(rb"[\x21-\x7e]+")
+_DIGITS, _HEX = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9A-Fa-f]{1,8}")
+_BAD_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+class HttpError(Exception):
+    """The bytes are not a message of this protocol, or it is larger than allowed."""
+
+
+@dataclass(slots=True)
+class Message:
+    """A whole request (method, target) or response (status); header names are in lower case."""
+
+    method: str = ""
+    target: str = ""
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+class Parser:
+    """Feed it bytes in any cuts, take whole messages from ``next``; one that raised is of no more use."""
+
+    def __init__(self, *, responses: bool = False) -> None:
+        self._responses = responses
+        self._data = bytearray()
+        self._message: Message | None = None  # its head is read, its body is not
+        self._length: int | None = None  # bytes of body to come; None for chunks or until the end
+        self._chunked = False
+        self._trailer = -1  # bytes of trailer lines so far, once the last chunk is read
+        self._ended = False
+
+    def feed(self, data: bytes) -> None:
+        """Take some bytes."""
+        self._data += data
+        if len(self._data) > MAX_INPUT:
+            raise HttpError("more input than one message may have")
+
+    def eof(self) -> None:
+        """The peer has ended its sending."""
+        self._ended = True
+
+    @property
+    def idle(self) -> bool:
+        """Nothing of a message has come in."""
+        return not self._data and self._message is None
+
+    def next(self) -> Message | None:
+        """The next whole message, or None until more bytes come."""
+        if self._message is None and not self._head():
+            return None
+        message = self._message
+        assert message is not None
+        if self._chunked:
+            if not self._chunks(message):
+                return None
+        elif self._length is None:  # a response that lasts until its connection ends
+            if len(self._data) > MAX_BODY:
+                raise HttpError("body too large")
+            if not self._ended:
+                return None
+            message.body, message.keep_alive = bytes(self._data), False
+            self._data.clear()
+        elif len(self._data) < self._length:
+            return None
+        else:
+            message.body = bytes(self._data[: self._length])
+            del self._data[: self._length]
+        self._message = None
+        return message
+
+    def _head(self) -> bool:
+        while self._data[:2] == b"\r\n":  # blank lines before a message are passed over
+            del self._data[:2]
+        end = self._data.find(b"\r\n\r\n", 0, MAX_HEAD)
+        if end < 0:
+            if len(self._data) >= MAX_HEAD:
+                raise HttpError("head too large")
+            return False
+        first, *lines = bytes(self._data[:end]).split(b"\r\n")
+        del self._data[: end + 4]
+        message = self._first_line(first)
+        for line in lines:
+            name, colon, value = line.partition(b":")
+            if not colon or not _TOKEN.fullmatch(name) or _BAD_VALUE.search(value):
+                raise HttpError("malformed header line")
+            key, text = name.decode().lower(), value.strip(b" \t").decode("latin-1")
+            if key in message.headers:
+                if key in ("content-length", "transfer-encoding", "req-id"):
+                    raise HttpError(f"more than one {key}")
+                text = f"{message.headers[key]}, {text}"
+            message.headers[key] = text
+        options = {t.strip() for t in message.headers.get("connection", "").lower().split(",")}
+        if first.startswith(b"HTTP/1.0") or first.endswith(b"HTTP/1.0"):
+            message.keep_alive = "keep-alive" in options
+        else:
+            message.keep_alive = "close" not in options
+        self._framing(message)
+        if 100 <= message.status < 200:  # an interim response has no body; the real one follows
+            return self._head()
+        self._message = message
+        return True
+
+    def _first_line(self, line: bytes) -> Message:
+        parts = line.split(b" ", 2)
+        if self._responses:
+            if len(parts) < 2 or parts[0] not in (b"HTTP/1.1", b"HTTP/1.0"):
+                raise HttpError("malformed status line")
+            if not re.fullmatch(rb"[1-5][0-9][0-9]", parts[1]):
+                raise HttpError("malformed status")
+            return Message(status=int(parts[1]))
+        if len(parts) != 3 or parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+            raise HttpError("malformed request line")
+        if not _TOKEN.fullmatch(parts[0]) or not _TARGET.fullmatch(parts[1]):
+            raise HttpError("malformed method or target")
+        return Message(method=parts[0].decode(), target=parts[1].decode())
+
+    def _framing(self, message: Message) -> None:
+        coding, length = message.headers.get("transfer-encoding"), message.headers.get("content-length")
+        self._chunked, self._trailer = False, -1
+        if coding is not None:
+            if length is not None or coding.lower() != "chunked":
+                raise HttpError("unsupported transfer coding")
+            self._chunked = True
+        elif length is not None:
+            if not _DIGITS.fullmatch(length.encode("latin-1")):
+                raise HttpError("malformed content length")
+            self._length = int(length)
+            if self._length > MAX_BODY:
+                raise HttpError("body too large")
+        elif message.status in (0, 204, 304):
+            self._length = 0
+        else:
+            self._length = None
+
+    def _chunks(self, message: Message) -> bool:
+        while True:
+            end = self._data.find(b"\r\n")
+            if end < 0:
+                if len(self._data) > 1024:
+                    raise HttpError("chunk line too long")
+                return False
+            line = bytes(self._data[:end])
+            if self._trailer >= 0:
+                self._trailer += end + 2
+                if self._trailer > MAX_HEAD:
+                    raise HttpError("trailer too large")
+                del self._data[: end + 2]
+                if not line:
+                    return True
+                continue
+            digits = line.partition(b";")[0].strip()
+            if not _HEX.fullmatch(digits):
+                raise HttpError("malformed chunk size")
+            size = int(digits, 16)
+            if len(message.body) + size > MAX_BODY:
+                raise HttpError("body too large")
+            if size == 0:
+                self._trailer = 0
+                del self._data[: end + 2]
+                continue
+            stop = end + 2 + size
+            if len(self._data) < stop + 2:
+                return False
+            if self._data[stop : stop + 2] != b"\r\n":
+                raise HttpError("chunk does not end where it says")
+            message.body += bytes(self._data[end + 2 : stop])
+            del self._data[: stop + 2]
+
+
+REASONS = {200: "OK", 400: "Bad Request", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+def encode_request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
+    """A request; its length is stated wherever it has a body or its method usually brings one."""
+    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
+    if body or method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def encode_response(
+    status: int, headers: Iterable[tuple[str, str]] = (), body: bytes = b"", *, close: bool = False
+) -> bytes:
+    """A response with its length."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines += ["Connection: close"] if close else []
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- a/larkspur/rules.py
+++ b/sabledyke/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of a storage gateway's host. Types in and out: larkspur/interface.py; records: state.py.
+"""Every decision of a storage gateway's host. Types in and out: sabledyke/interface.py; records: state.py.
 
 Ordinary path, per node: requests go at once while the period's budget has room; the excess is held and leaves
 by earliest due time (arrival + aim, capped by the deadline); a volume newly active at a node enters while
@@ -12,9 +12,9 @@
 from dataclasses import replace
 from math import exp, inf
 
-from larkspur import interface as api
-from larkspur.interface import Outcome
-from larkspur.state import Job, Node, Pace, Records, Volume
+from sabledyke import interface as api
+from sabledyke.interface import Outcome
+from sabledyke.state import Job, Node, Pace, Records, Volume
 
 PERIOD, HOST_PERIOD = 1000.0, 20.0  # ms: a period at least, and for each host: all floors must fit a node
 LOOKBACK, TAU = 30000.0, 1.0  # the admission test: ms it looks back, as long as history lasts; safety margin
--- a/larkspur/simhost.py
+++ b/sabledyke/simhost.py
@@ -5,9 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from larkspur import wire
-from larkspur.interface import Event
-from larkspur.rules import Scheduler
+from sabledyke import wire
+from sabledyke.interface import Event
+from sabledyke.rules import Scheduler
 
 
 def _exactly(stream: BinaryIO, n: int) -> bytes:
@@ -88,7 +88,7 @@
             sys.stdout.buffer.write(host.answer(frame))
             sys.stdout.buffer.flush()
     except wire.WireError as fault:
-        print(f"larkspur: {fault}", file=sys.stderr)
+        print(f"sabledyke: {fault}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from larkspur import interface as api
-from larkspur.rules import Scheduler
+from sabledyke import interface as api
+from sabledyke.rules import Scheduler
 
 READ = api.RequestClass(
     "read", 200, 1000, 3, 0.1, api.Repeat.IDEMPOTENT, api.Group.ALL, 5000, False, False, False
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from larkspur import interface as api
-from larkspur.interface import Outcome
+from sabledyke import interface as api
+from sabledyke.interface import Outcome
 from tests.helpers import SETTINGS, Rig, listing, node, of
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from larkspur import rules
-from larkspur.interface import Departed, Outcome, TimerFired
-from larkspur.state import Node
+from sabledyke import rules
+from sabledyke.interface import Departed, Outcome, TimerFired
+from sabledyke.state import Node
 from tests.helpers import SETTINGS, Rig, node
 
 ROOT = Path(__file__).parent.parent
@@ -191,6 +191,6 @@
 
 
 def test_the_module_stays_small_enough_to_read() -> None:
-    lines = (ROOT / "larkspur" / "rules.py").read_text().splitlines()
+    lines = (ROOT / "sabledyke" / "rules.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 400
     assert max(map(len, lines)) <= 110
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from larkspur import interface as api
-from larkspur.interface import Outcome
+from sabledyke import interface as api
+from sabledyke.interface import Outcome
 from tests.helpers import READ, WRITE, Rig, listing, node, of
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from larkspur import interface as api
-from larkspur import wire
-from larkspur.simhost import Host, read_frame
+from sabledyke import interface as api
+from sabledyke import wire
+from sabledyke.simhost import Host, read_frame
 
 ROOT = Path(__file__).parent.parent
 A, B = b"\x0a\x01\x02\x03\x1f\x90", b"\x0a\x01\x02\x04\x1f\x90"
@@ -148,7 +148,7 @@
 
 def serve(data: bytes) -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "larkspur.simhost"], cwd=ROOT, input=data, capture_output=True
+        [sys.executable, "-m", "sabledyke.simhost"], cwd=ROOT, input=data, capture_output=True
     )
 
 
