Add the NVMe/TCP front, links to NVMe boxes, the operator's file and the store of record

Off unless an operator's file is given. Untested against stand-ins yet; those tests come next. The pool now keeps links of any protocol, so all connections to boxes share one bound. A request may carry what a former life sent of it (Request.ran), and the module fails at once what may run nowhere any more.

--- a/sabledyke/__main__.py
+++ b/sabledyke/__main__.py
@@ -1,8 +1,8 @@
 """sabledyke, an I/O scheduler for storage nodes.
 
 Usage:
-  sabledyke [serve]
-  sabledyke check-config
+  sabledyke [serve] [--operator FILE]
+  sabledyke check-config [--operator FILE]
   sabledyke version
   sabledyke (-h | --help)
 
@@ -11,6 +11,10 @@
   check-config  Read the configuration, say what it holds, and end.
   version       Print the version.
 
+Options:
+  --operator FILE  What is off on the platform: NVMe over TCP and the store of record (TOML).
+  -h --help        This text.
+
 The environment says what to serve: GW_CONFIG names the JSON file of settings; GW_NAME, GW_LISTEN and
 GW_DISCOVERY win over what the file says.
 """
@@ -21,36 +25,41 @@
 import sys
 
 from sabledyke import config
+from sabledyke.operator import Operator, OperatorError
+from sabledyke.operator import load as load_operator
+from sabledyke.store import StoreError
 
 VERSION = "0.1.0"
 
 
-def serve(settings: config.Config) -> None:
+def serve(settings: config.Config, operator: Operator | None) -> None:
     """Run one scheduler."""
     import asyncio
 
     from sabledyke.net.server import Server
 
     async def run() -> None:
-        await Server(settings).run()
+        await Server(settings, operator).run()
 
     asyncio.run(run())
 
 
 def main(arguments: list[str]) -> int:
     """Run one command; 0 for success, 2 for a configuration that cannot be used."""
-    command = "serve"
+    command, path = "serve", None
     if arguments:  # a plain start spares the time that reading the command line takes
         from docopt import docopt
 
         said = docopt(__doc__, arguments)
         command = next((c for c in ("check-config", "version") if said[c]), "serve")
+        path = said["--operator"]
     if command == "version":
         print(f"sabledyke {VERSION}")
         return 0
     try:
         settings = config.load(os.environ)
-    except config.ConfigError as fault:
+        operator = load_operator(path, settings.settings) if path else None
+    except (config.ConfigError, OperatorError) as fault:
         print(f"sabledyke: {fault}", file=sys.stderr)
         return 2
     if command == "check-config":
@@ -60,8 +69,18 @@
             f"{len(known)} nodes known, {len(settings.settings.classes)} classes, "
             f"{len(settings.settings.plans)} plans"
         )
+        if operator is not None:
+            where = ":".join(map(str, operator.listen)) if operator.listen else "nowhere"
+            print(
+                f"operator's file: NVMe at {where}, {len(operator.volumes)} volumes, "
+                f"{len(operator.boxes)} boxes; store {operator.store or 'off'}"
+            )
         return 0
-    serve(settings)
+    try:
+        serve(settings, operator)
+    except (StoreError, OSError) as fault:  # no file, or an address that cannot be listened at
+        print(f"sabledyke: {fault}", file=sys.stderr)
+        return 2
     return 0
 
 
--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -44,7 +44,7 @@
     units: float
     shard: int
     hosts: float
-    remaining: float
+    remaining: float  # milliseconds
     repeated: bool
     write: bool
     ident: str
@@ -110,6 +110,7 @@
     answered: bool = False
     attempts: int = 0
     out: dict[int, tuple[float, api.NodeId]] = field(default_factory=dict)
+    ran: tuple[float, api.NodeEntry] | None = None  # first send that may have run, and where
 
 
 class Core:
@@ -126,6 +127,7 @@
         self._timers: list[tuple[float, int, int]] = []  # when, module's token or -1, request of a guard
         self._open: dict[int, _Open] = {}
         self._ids = 0
+        self.nodes: dict[api.NodeId, api.NodeEntry] = {}
 
     @property
     def unanswered(self) -> int:
@@ -137,11 +139,11 @@
         self._ids += 1
         rid = self._ids
         deadline = now + work.remaining
-        self._open[rid] = _Open(work, deadline, done)
+        self._open[rid] = _Open(work, deadline, done, ran=work.ran)
         heapq.heappush(self._timers, (deadline - GUARD, -1, rid))
         self._event(api.Request(
             rid, work.class_, work.plan, work.key, work.remaining, work.volume, work.units, work.shard,
-            work.hosts, work.repeated, work.write,
+            work.hosts, work.repeated, work.write, work.ran,
         ))  # fmt: skip
         return rid
 
@@ -160,6 +162,8 @@
             return
         assert request is not None
         sent, node = request.out.pop(number)
+        if end.may_have_run:
+            request.ran = request.ran or (sent, self.nodes[node])
         if end.outcome is Outcome.OK and not request.answered:
             self._answer(rid, Answer(Verdict.SERVED, end.body))
         self._event(api.Attempted(
@@ -170,6 +174,7 @@
 
     def listed(self, news: api.NodeList) -> None:
         """News of the list of nodes."""
+        self.nodes.update((entry.node, entry) for entry in news.entries)
         self._event(news)
 
     def due(self) -> float | None:
@@ -240,12 +245,27 @@
         assert request is not None
         number, request.attempts = request.attempts, request.attempts + 1
         left = request.deadline - CUT - now
+        beyond = not check(self._may_run(now, request, node), "no repeat beyond its key", f"request {rid}")
         request.out[number] = now, node
-        if number >= self.settings.max_attempts or left <= 0:
+        if beyond or number >= self.settings.max_attempts or left <= 0:
             self.ended(now, rid, number, Ended(Outcome.MOOT, False))
             return
         self.transport.start(rid, number, node, request.work, min(timeout, left) if timeout else left)
 
+    def _may_run(self, now: float, request: _Open, node: api.NodeId) -> bool:
+        """Rule 2, seen from here: a write is never sent again where and when its key does not hold."""
+        kind = self.settings.classes[request.work.class_]
+        sent = [request.ran] if request.ran else [(at, self.nodes[n]) for at, n in request.out.values()]
+        if kind.repeat is api.Repeat.IDEMPOTENT or not sent:
+            return True
+        at, first = min(sent, key=lambda s: s[0])
+        if kind.repeat is api.Repeat.AT_MOST_ONCE or now >= at + kind.repeat_window:
+            return False
+        here = self.nodes[node]
+        if kind.group is api.Group.CELL:
+            return here.shard == first.shard
+        return kind.group is api.Group.ALL or here.zone == first.zone
+
     def _finish(self, rid: int, answer: Answer) -> None:
         if rid in self._open and not self._open[rid].answered:
             self._answer(rid, answer)
--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -179,6 +179,7 @@
     hosts: float
     repeated: bool
     write: bool
+    ran: tuple[float, NodeEntry] | None = None  # a former life sent it then, there: it may have run
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/sabledyke/net/httpfront.py
@@ -0,0 +1,103 @@
+"""The thin front for the platform's HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from sabledyke import log
+from sabledyke.core import Answer
+from sabledyke.net import streams
+from sabledyke.net.front import Client, Front, Submit
+from sabledyke.protocol.gateway import HEALTH, Reader, to_client
+from sabledyke.protocol.http import MAX_INPUT, HttpError, Message, Parser, encode_response
+
+
+class HttpClient(Client):
+    """A connection: a request at a time, each answered before the next is looked at."""
+
+    def __init__(
+        self, front: Front, stream: streams.IOStream, reader: Reader, submit: Submit,
+        depart: Callable[[int], None],
+    ) -> None:  # fmt: skip
+        super().__init__(stream)
+        self._front, self._reader, self._submit, self._depart = front, reader, submit, depart
+        self._parser = Parser()
+        self._rid: int | None = None  # the request in work
+        self._writing = False
+        self._waiting = 0  # bytes that came in since the last request was looked at
+
+    @property
+    def idle(self) -> bool:
+        """See ``Client``."""
+        return self._rid is None and not self._writing and self._parser.idle
+
+    def departed(self) -> None:
+        """See ``Client``."""
+        rid, self._rid = self._rid, None
+        if rid is not None:
+            self._depart(rid)
+
+    async def serve(self) -> None:
+        """See ``Client``."""
+        try:
+            while True:
+                data = await self.stream.read_bytes(streams.READ, partial=True)
+                self._waiting += len(data)
+                if self._waiting > MAX_INPUT:
+                    raise HttpError("more sent than one request at a time")
+                self._parser.feed(data)
+                self._next()
+        except streams.StreamClosedError:
+            self.close()
+        except HttpError as fault:
+            self._bad(fault)
+
+    def _next(self) -> None:
+        if self._rid is not None or self._writing:
+            return
+        message = self._parser.next()
+        if message is None:
+            return
+        self._waiting = 0
+        self._front.touch(self)
+        if message.target.partition("?")[0] == HEALTH:
+            last = self._last(message)
+            self._write(encode_response(200, close=last), last)
+            return
+        work = self._reader.work(message)
+
+        def done(answer: Answer) -> None:
+            self._rid = None
+            last = self._last(message)
+            if not self.stream.closed():
+                self._write(to_client(answer, close=last), last)
+
+        self._rid = self._submit(work, done)
+
+    def _last(self, message: Message) -> bool:
+        return self._front.leaving or not message.keep_alive
+
+    def _write(self, data: bytes, last: bool) -> None:
+        self._writing = True
+        written = asyncio.ensure_future(self.stream.write(data))
+
+        def flushed(_: object) -> None:
+            self._writing = False
+            if last:
+                self.close()
+            elif not self.stream.closed():
+                try:
+                    self._next()
+                except HttpError as fault:
+                    self._bad(fault)
+
+        written.add_done_callback(flushed)
+
+    def _bad(self, fault: HttpError) -> None:
+        """Bad bytes harm nobody but who sent them."""
+        log.say("front", f"a client sent a bad request: {fault}")
+        if self._rid is None and not self._writing and not self.stream.closed():
+            self._write(encode_response(400, close=True), True)
+        else:
+            self.close()
--- /dev/null
+++ b/sabledyke/net/httplink.py
@@ -0,0 +1,66 @@
+"""A connection to a box that speaks the platform's HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+
+from sabledyke import interface as api
+from sabledyke.core import Ended, Work
+from sabledyke.net import streams
+from sabledyke.net.pool import Address, BadPeer
+from sabledyke.protocol.gateway import Reader, to_box
+from sabledyke.protocol.http import HttpError, Message, Parser
+
+
+class HttpLink:
+    """See ``pool.Link``."""
+
+    def __init__(self, host: str, stream: streams.IOStream, reader: Reader) -> None:
+        self.stream = stream
+        self._host, self._reader = host, reader
+        self._parser = Parser(responses=True)
+        self._written: asyncio.Future[None] | None = None
+        self.reusable = True
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether its last byte has left: a write that is done tells so, one that failed never did."""
+        return self._written is not None and self._written.done() and self._written.exception() is None
+
+    async def exchange(self, work: Work, timeout: float) -> Ended:
+        """See ``pool.Link``."""
+        self.reusable = False
+        self._written = None
+        self._written = asyncio.ensure_future(self.stream.write(to_box(work, self._host, timeout)))
+        try:
+            answer = await self._answer()
+        except HttpError as fault:
+            raise BadPeer(str(fault)) from None
+        self.reusable = answer.keep_alive and self.may_have_run and self._parser.idle
+        return self._reader.ended(answer)
+
+    async def _answer(self) -> Message:
+        while True:
+            try:
+                self._parser.feed(await self.stream.read_bytes(streams.READ, partial=True))
+            except streams.StreamClosedError:
+                self._parser.eof()
+                answer = self._parser.next()
+                if answer is None:
+                    raise
+                return answer
+            answer = self._parser.next()
+            if answer is not None:
+                return answer
+
+
+class HttpDialer:
+    """Opens such connections."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._settings, self._reader = settings, Reader(settings)
+
+    async def dial(self, node: api.NodeId, address: Address) -> HttpLink:
+        """See ``pool.Dial``."""
+        stream = await streams.connect(address, self._settings.connect_timeout)
+        return HttpLink(f"{address[0]}:{address[1]}", stream, self._reader)
--- /dev/null
+++ b/sabledyke/net/nvmelink.py
@@ -0,0 +1,201 @@
+"""Connections to boxes that speak NVMe over TCP: one association a box, one command a time on each queue."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+
+from sabledyke import interface as api
+from sabledyke import log
+from sabledyke.core import Ended, Work
+from sabledyke.interface import Outcome
+from sabledyke.net import streams
+from sabledyke.net.pool import Address, BadPeer
+from sabledyke.protocol.blocks import NotHere, Translator
+from sabledyke.protocol.nvme import (
+    DYNAMIC,
+    MAX_QUEUES,
+    Admin,
+    Command,
+    Completion,
+    Initiator,
+    NvmeError,
+    Prop,
+    Status,
+    connect,
+    property_get,
+    property_set,
+)  # fmt: skip
+
+KEEP_ALIVE = 15000  # ms without a command after which a box may end the association
+ENABLE = 1 | 6 << 16 | 4 << 20  # CC: enabled, entries of 64 and 16 bytes
+
+
+class _Channel:
+    """One queue's connection."""
+
+    def __init__(self, stream: streams.IOStream) -> None:
+        self.stream, self.machine = stream, Initiator()
+        self.written: asyncio.Future[None] | None = None
+
+    async def run(
+        self, command: Command, payload: bytes = b"", *, inside: bool = False
+    ) -> tuple[Completion, bytes]:
+        """One command; a StreamClosedError or BadPeer where it breaks."""
+        self.written = None
+        try:
+            self.machine.submit(command, payload, inside=inside)
+            while True:
+                if self.machine.output:
+                    data, self.machine.output = bytes(self.machine.output), bytearray()
+                    written = asyncio.ensure_future(self.stream.write(data))
+                    self.written = self.written or written
+                for done in self.machine.feed(await self.stream.read_bytes(streams.READ, partial=True)):
+                    return done
+        except NvmeError as fault:
+            streams.abort(self.stream)
+            raise BadPeer(str(fault)) from None
+
+    async def must(self, command: Command, payload: bytes = b"") -> int:
+        """One command of the set-up: its result, or a BadPeer."""
+        done, _ = await self.run(command, payload, inside=bool(payload))
+        if done.status != Status.OK:
+            streams.abort(self.stream)
+            raise BadPeer(f"status {done.status:#x} to command {command.opcode:#x}")
+        return done.result
+
+
+class NvmeLink:
+    """See ``pool.Link``: an I/O queue."""
+
+    def __init__(self, channel: _Channel, translator: Translator) -> None:
+        self._channel, self._translator = channel, translator
+        self.stream = channel.stream
+        self.reusable = True
+        self._work: Work | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """A read's command that was written, or any byte of a write's data.
+
+        Guards against a write that is cut off mid-transfer: a box may have begun to store what it has.
+        """
+        written = self._channel.written
+        if self._work is None or written is None:
+            return False
+        if self._work.write:
+            return self._channel.machine.data_out
+        return written.done() and written.exception() is None
+
+    async def exchange(self, work: Work, timeout: float) -> Ended:
+        """See ``pool.Link``; the time-out is the pool's, NVMe states none."""
+        self.reusable, self._work, self._channel.written = False, work, None
+        try:
+            command, payload = self._translator.to_box(work)
+        except NotHere as fault:
+            log.say("box", str(fault))
+            self.reusable = True
+            return Ended(Outcome.ERROR, False)
+        done, data = await self._channel.run(command, payload)
+        self.reusable = True
+        return self._translator.from_box(work, done, data)
+
+
+class _Association:
+    """The admin queue of a box, and the numbers of its I/O queues."""
+
+    def __init__(self, address: Address, nqn: str, host: tuple[bytes, str]) -> None:
+        self.address, self._nqn, self._host = address, nqn, host
+        self._admin: _Channel | None = None
+        self._cntlid = 0
+        self._most = 0
+        self._last = 0
+        self._queues: dict[int, streams.IOStream] = {}
+        self._lock = asyncio.Lock()
+        self._keeping: asyncio.Task[None] | None = None
+
+    async def queue(self, timeout: float) -> _Channel:
+        """A new I/O queue."""
+        async with self._lock:
+            if self._admin is None or self._admin.stream.closed():
+                await self._associate(timeout)
+            number = self._number()
+        channel = _Channel(await streams.connect(self.address, timeout))
+        self._queues[number] = channel.stream
+        try:
+            await channel.must(*connect(self._nqn, number, self._cntlid, self._host, 0))
+        except BaseException:
+            streams.abort(channel.stream)
+            raise
+        return channel
+
+    def _number(self) -> int:
+        """The queue number unused for longest: a box may take a while to see that a queue is gone."""
+        for _ in range(self._most):
+            self._last = self._last % self._most + 1
+            if self._last not in self._queues or self._queues[self._last].closed():
+                return self._last
+        raise BadPeer("no queue to spare")
+
+    async def _associate(self, timeout: float) -> None:
+        admin = _Channel(await streams.connect(self.address, timeout))
+        try:
+            self._cntlid = await admin.must(*connect(self._nqn, 0, DYNAMIC, self._host, KEEP_ALIVE)) & 0xFFFF
+            await admin.must(property_get(Prop.CAP))
+            await admin.must(property_set(Prop.CC, ENABLE))
+            while not await admin.must(property_get(Prop.CSTS)) & 1:
+                await asyncio.sleep(0.01)
+            wanted = (MAX_QUEUES - 1) * 0x10001
+            granted = await admin.must(Command(Admin.SET_FEATURES, 0, cdw10=(7, wanted, 0, 0, 0, 0)))
+        except BaseException:
+            streams.abort(admin.stream)
+            raise
+        self._most = min(granted & 0xFFFF, granted >> 16, MAX_QUEUES - 1) + 1
+        self._queues, self._admin = {}, admin
+        if self._keeping is not None:
+            self._keeping.cancel()
+        self._keeping = asyncio.get_running_loop().create_task(self._keep(admin))
+
+    async def _keep(self, admin: _Channel) -> None:
+        """Keep Alive, until the admin queue breaks; what hangs on it breaks with it."""
+        try:
+            while True:
+                await asyncio.sleep(KEEP_ALIVE / 3000)
+                async with asyncio.timeout(KEEP_ALIVE / 3000):
+                    await admin.must(Command(Admin.KEEP_ALIVE, 0))
+        except (streams.StreamClosedError, BadPeer, OSError):
+            streams.abort(admin.stream)
+
+    def close(self) -> None:
+        """Leave the box."""
+        if self._keeping is not None:
+            self._keeping.cancel()
+        if self._admin is not None:
+            streams.abort(self._admin.stream)
+
+
+class NvmeDialer:
+    """Opens I/O queues."""
+
+    def __init__(
+        self, settings: api.Settings, translator: Translator, boxes: dict[api.NodeId, str], host_nqn: str
+    ) -> None:
+        self._settings, self._translator, self._boxes = settings, translator, boxes
+        self._host = uuid.uuid4().bytes, host_nqn
+        self._associations: dict[api.NodeId, _Association] = {}
+
+    async def dial(self, node: api.NodeId, address: Address) -> NvmeLink:
+        """See ``pool.Dial``."""
+        known = self._associations.get(node)
+        if known is None or known.address != address:
+            if known is not None:
+                known.close()
+            known = self._associations[node] = _Association(address, self._boxes[node], self._host)
+        async with asyncio.timeout(self._settings.connect_timeout / 1000):
+            channel = await known.queue(self._settings.connect_timeout)
+        return NvmeLink(channel, self._translator)
+
+    def close(self) -> None:
+        """Leave all boxes."""
+        for association in self._associations.values():
+            association.close()
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -1,28 +1,51 @@
-"""HTTP connections to boxes, and the attempts on them: one at a time on each."""
+"""Connections to boxes, whatever they speak, and the attempts on them: one at a time on each."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from sabledyke import interface as api
 from sabledyke import log
 from sabledyke.core import Ended, Work
 from sabledyke.interface import Outcome
 from sabledyke.net import streams
-from sabledyke.protocol.gateway import Reader, to_box
-from sabledyke.protocol.http import HttpError, Message, Parser
 
+Address = tuple[str, int]
 Report = Callable[[int, int, Ended], None]
 IDLE_PART = 0.6  # of the time after which boxes close idle connections: ours are closed by then
 
 
-class _Link:
+class BadPeer(Exception):
+    """A box does not speak its protocol; the text says where."""
+
+
+class Link(Protocol):
     """An open connection to a box."""
 
-    def __init__(self, node: api.NodeId, address: tuple[str, int], stream: streams.IOStream) -> None:
-        self.node, self.address, self.stream = node, address, stream
-        self.parser = Parser(responses=True)
+    stream: streams.IOStream
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the box may have run what was exchanged last."""
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another exchange may follow the last."""
+
+    async def exchange(self, work: Work, timeout: float) -> Ended:
+        """One attempt; a StreamClosedError or BadPeer where it breaks."""
+
+
+Dial = Callable[[api.NodeId, Address], Awaitable[Link]]
+
+
+class _Slot:
+    """A link and its place in the pool."""
+
+    def __init__(self, node: api.NodeId, address: Address, link: Link) -> None:
+        self.node, self.address, self.link = node, address, link
         self.expiry: asyncio.TimerHandle | None = None
 
 
@@ -31,34 +54,31 @@
 
     def __init__(self, rid: int, number: int, node: api.NodeId, work: Work) -> None:
         self.rid, self.number, self.node, self.work = rid, number, node, work
-        self.link: _Link | None = None
-        self.written: asyncio.Future[None] | None = None
+        self.slot: _Slot | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
     @property
     def may_have_run(self) -> bool:
-        """Whether its last byte may have left: a write that is done tells so, one that failed never did."""
-        return self.written is not None and self.written.done() and self.written.exception() is None
+        return self.slot is not None and self.slot.link.may_have_run
 
 
-class HttpPool:
-    """The core's transport to boxes that speak HTTP."""
+class Pool:
+    """The core's transport: keeps at most ``most`` connections and opens them with ``dial``."""
 
-    def __init__(self, settings: api.Settings, report: Report, most: int) -> None:
-        self._settings, self._report, self._most = settings, report, most
-        self._reader = Reader(settings)
-        self._dials: dict[api.NodeId, tuple[str, int]] = {}
-        self._idle: dict[api.NodeId, list[_Link]] = {}
+    def __init__(self, settings: api.Settings, report: Report, most: int, dial: Dial) -> None:
+        self._settings, self._report, self._most, self._dial = settings, report, most, dial
+        self._addresses: dict[api.NodeId, Address] = {}
+        self._idle: dict[api.NodeId, list[_Slot]] = {}
         self._flights: dict[tuple[int, int], _Flight] = {}
-        self._links = 0
+        self._slots = 0
 
-    def dial(self, dials: dict[api.NodeId, tuple[str, int]]) -> None:
+    def learn(self, addresses: dict[api.NodeId, Address]) -> None:
         """Learn where nodes listen; connections to a former address are not used again."""
-        for node, address in dials.items():
-            if self._dials.get(node, address) != address:
+        for node, address in addresses.items():
+            if self._addresses.get(node, address) != address:
                 self.close_idle(node)
-            self._dials[node] = address
+            self._addresses[node] = address
 
     def start(self, rid: int, number: int, node: api.NodeId, work: Work, timeout: float) -> None:
         """See ``core.Transport``."""
@@ -76,8 +96,8 @@
 
     def close_idle(self, node: api.NodeId) -> None:
         """See ``core.Transport``."""
-        for link in self._idle.pop(node, []):
-            self._discard(link)
+        for slot in self._idle.pop(node, []):
+            self._discard(slot)
 
     def close(self) -> None:
         """Close what is idle, at the end."""
@@ -86,94 +106,78 @@
 
     async def _fly(self, flight: _Flight, timeout: float) -> None:
         try:
-            link = self._reuse(flight.node) or await self._open(flight.node)
-            if (flight.rid, flight.number) not in self._flights:  # cancelled while the connection came up
-                self._keep(link)
+            slot = self._reuse(flight.node) or await self._open(flight.node)
+            if (flight.rid, flight.number) not in self._flights:  # given up while the connection came up
+                self._keep(slot)
                 return
-            flight.link = link
-            data = to_box(flight.work, f"{link.address[0]}:{link.address[1]}", timeout)
-            flight.written = asyncio.ensure_future(link.stream.write(data))
-            answer = await self._answer(link)
-        except (streams.StreamClosedError, HttpError, OSError) as fault:
-            if isinstance(fault, HttpError):
-                log.say("box", f"{flight.node.decode(errors='replace')} answered no HTTP: {fault}")
+            flight.slot = slot
+            ended = await slot.link.exchange(flight.work, timeout)
+        except (streams.StreamClosedError, BadPeer, OSError) as fault:
+            if isinstance(fault, BadPeer):
+                log.say("box", f"{flight.node.decode(errors='replace')} is not understood: {fault}")
             ran = flight.may_have_run
             self._end(flight, Ended(Outcome.RESET if ran else Outcome.NO_CONNECTION, ran))
             return
-        whole = flight.may_have_run
-        if answer.keep_alive and whole and link.parser.idle:
-            flight.link = None
-            self._keep(link)
-        self._end(flight, self._reader.ended(answer))
-
-    async def _answer(self, link: _Link) -> Message:
-        while True:
-            try:
-                link.parser.feed(await link.stream.read_bytes(streams.READ, partial=True))
-            except streams.StreamClosedError:
-                link.parser.eof()
-                answer = link.parser.next()
-                if answer is None:
-                    raise
-                return answer
-            answer = link.parser.next()
-            if answer is not None:
-                return answer
-
-    async def _open(self, node: api.NodeId) -> _Link:
-        address = self._dials.get(node)
-        if self._links >= self._most:
+        if flight.slot is not None and slot.link.reusable:
+            flight.slot = None
+            self._keep(slot)
+        self._end(flight, ended)
+
+    async def _open(self, node: api.NodeId) -> _Slot:
+        address = self._addresses.get(node)
+        if self._slots >= self._most:
             self._make_room()
-        if address is None or self._links >= self._most:
+        if address is None or self._slots >= self._most:
             log.say("pool", f"no connection to spare for {node.decode(errors='replace')}")
             raise streams.StreamClosedError
-        self._links += 1
+        self._slots += 1
         try:
-            stream = await streams.connect(address, self._settings.connect_timeout)
+            return _Slot(node, address, await self._dial(node, address))
         except BaseException:
-            self._links -= 1
+            self._slots -= 1
             raise
-        return _Link(node, address, stream)
 
     def _make_room(self) -> None:
-        """Close the idle connection of the node that has most of them."""
+        """Close the oldest idle connection of the node that has most of them."""
         if self._idle:
             node = max(self._idle, key=lambda n: len(self._idle[n]))
-            self._discard(self._idle[node].pop(0))
-            if not self._idle[node]:
-                del self._idle[node]
+            self._drop_idle(self._idle[node][0])
 
-    def _reuse(self, node: api.NodeId) -> _Link | None:
+    def _reuse(self, node: api.NodeId) -> _Slot | None:
         while self._idle.get(node):
-            link = self._idle[node].pop()
-            if link.expiry is not None:
-                link.expiry.cancel()
-            link.stream.set_close_callback(None)
-            if streams.quiet(link.stream):
-                return link
-            self._discard(link)
+            slot = self._idle[node][-1]
+            self._take(slot)
+            if streams.quiet(slot.link.stream):
+                return slot
+            self._discard(slot)
         return None
 
-    def _keep(self, link: _Link) -> None:
-        if link.stream.closed() or self._dials.get(link.node) != link.address:
-            self._discard(link)
+    def _keep(self, slot: _Slot) -> None:
+        if slot.link.stream.closed() or self._addresses.get(slot.node) != slot.address:
+            self._discard(slot)
             return
-        self._idle.setdefault(link.node, []).append(link)
+        self._idle.setdefault(slot.node, []).append(slot)
         after = self._settings.idle_timeout * IDLE_PART / 1000
-        link.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, link)
-        link.stream.set_close_callback(lambda: self._drop_idle(link))
-
-    def _drop_idle(self, link: _Link) -> None:
-        if link in self._idle.get(link.node, ()):
-            self._idle[link.node].remove(link)
-            self._discard(link)
-
-    def _discard(self, link: _Link) -> None:
-        if link.expiry is not None:
-            link.expiry.cancel()
-        link.stream.set_close_callback(None)
-        streams.abort(link.stream)
-        self._links -= 1
+        slot.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, slot)
+        slot.link.stream.set_close_callback(lambda: self._drop_idle(slot))
+
+    def _take(self, slot: _Slot) -> None:
+        """Out of the idle ones."""
+        self._idle[slot.node].remove(slot)
+        if not self._idle[slot.node]:
+            del self._idle[slot.node]
+        if slot.expiry is not None:
+            slot.expiry.cancel()
+        slot.link.stream.set_close_callback(None)
+
+    def _drop_idle(self, slot: _Slot) -> None:
+        if slot in self._idle.get(slot.node, ()):
+            self._take(slot)
+            self._discard(slot)
+
+    def _discard(self, slot: _Slot) -> None:
+        streams.abort(slot.link.stream)
+        self._slots -= 1
 
     def _expire(self, flight: _Flight) -> None:
         ran = flight.may_have_run
@@ -185,7 +189,7 @@
             return
         if flight.timer is not None:
             flight.timer.cancel()
-        link, flight.link = flight.link, None
-        if link is not None:
-            self._discard(link)
+        slot, flight.slot = flight.slot, None
+        if slot is not None:
+            self._discard(slot)
         self._report(flight.rid, flight.number, ended)
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -5,72 +5,167 @@
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
 
 from sabledyke import interface as api
 from sabledyke import invariants, log
 from sabledyke.config import Config
-from sabledyke.core import Core, Ended
+from sabledyke.core import Answer, Core, Ended, Transport, Verdict, Work
 from sabledyke.net import clock
-from sabledyke.net.front import Door, HttpFront
-from sabledyke.net.pool import HttpPool
+from sabledyke.net.front import Door, Front
+from sabledyke.net.httpfront import HttpClient
+from sabledyke.net.httplink import HttpDialer
+from sabledyke.net.pool import Address, Link, Pool
+from sabledyke.net.recorded import Recorded
 from sabledyke.net.watch import Watch
+from sabledyke.operator import Operator
 from sabledyke.protocol.discovery import Listing
+from sabledyke.protocol.gateway import Reader
+from sabledyke.store import KEPT, Store
+from sabledyke.store import name as store_name
 
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
-SPARE = 40  # descriptors kept for listening, discovery, the log and what Python opens
+SPARE = 64  # descriptors kept for listening, discovery, associations, the log and what Python opens
 
 
 class Server:
     """One scheduler."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, operator: Operator | None = None) -> None:
+        self.config, self.operator = config, operator or Operator()
         self._loop = asyncio.get_running_loop()
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._stop = asyncio.Event()
-        settings, half = config.settings, (config.sockets - SPARE) // 2
-        known = config.known
+        self._closers: list[Callable[[], None]] = []
+        settings, known = config.settings, config.known
+        half = (config.sockets - SPARE) // 2
         self.watch = Watch(config.discovery, settings, known.news.version if known else None, self._listed)
-        self.pool = HttpPool(settings, self._ended, half)
-        self.core = Core(settings, config.seed, self.pool, self.watch, self._wake)
-        self.front = HttpFront(self.core, half)
+        self._http = HttpDialer(settings)
+        self.pool = Pool(settings, self._report, half, self._dial)
+        transport: Transport = self.pool
+        self._store: Store | None = None
+        if self.operator.store:
+            self._store = Store(self.operator.store)
+            self._recorded = Recorded(self._store, lambda node: self.core.nodes[node], self._ended)
+            self._recorded.inner = self.pool
+            transport = self._recorded
+        self.core = Core(settings, config.seed, transport, self.watch, self._wake)
+        reader = Reader(settings)
+        most = half - (self.operator.connections if self.operator.listen else 0)
+        self.fronts = [Front("HTTP", most, lambda front, stream: HttpClient(
+            front, stream, reader, self._submit, self.core.depart))]  # fmt: skip
+        self._boxes: dict[api.NodeId, str] = dict(self.operator.boxes)
+        if self.operator.listen or self._boxes:
+            self._set_up_nvme()
+        self.doors: list[Door] = []
+
+    def _set_up_nvme(self) -> None:
+        from sabledyke.net.nvmefront import NvmeClient
+        from sabledyke.net.nvmelink import NvmeDialer
+        from sabledyke.protocol.blocks import Translator
+
+        operator, settings = self.operator, self.config.settings
+        translator = Translator(settings, operator.nqn, operator.volumes)
+        self._nvme = NvmeDialer(settings, translator, self._boxes, operator.host_nqn)
+        self._closers.append(self._nvme.close)
+        if operator.listen:
+            self.fronts.append(Front("NVMe", operator.connections, lambda front, stream: NvmeClient(
+                front, stream, translator, self._submit, self.core.depart)))  # fmt: skip
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what was taken."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._leave)
-        self._listed(self.config.known or Listing(api.NodeList(api.ListKind.CACHED, 0, ()), {}))
-        self._turn()
-        door = Door(self.config.listen, self.front.accept)
-        log.say("start", f"{self.config.name} serves at {self.config.listen[0]}:{door.port}")
+            self._loop.add_signal_handler(number, self.leave)
+        self.start()
         gc.collect()
         gc.freeze()  # guards against long collections of what stays for good
         await self._stop.wait()
-        self.front.leaving = True
+        await self.finish()
+
+    def start(self) -> None:
+        """Open the doors; what is known of the boxes is told first."""
+        if self._store is not None:
+            self._forget()
+        self._listed(self.config.known or Listing(api.NodeList(api.ListKind.CACHED, 0, ()), {}))
+        self._turn()
+        listens = [self.config.listen, self.operator.listen]
+        for front, listen in zip(self.fronts, listens, strict=False):
+            assert listen is not None
+            self.doors.append(Door(listen, front.accept))
+            log.say("start", f"{self.config.name} serves at {listen[0]}:{self.doors[-1].port}")
+
+    def leave(self) -> None:
+        """Begin to end."""
+        if not self._stop.is_set():
+            log.say("stop", f"{self.config.name} was told to end; {self.core.unanswered} requests in work")
+            self._stop.set()
+
+    async def finish(self) -> None:
+        """Keep the doors open for those on their way, answer all that was taken, and close."""
+        for front in self.fronts:
+            front.leaving = True
         await asyncio.sleep(LINGER)
-        door.close()
-        while self.front.busy:
-            self.front.close_idle()
+        for door in self.doors:
+            door.close()
+        for front in self.fronts:
+            front.closing = True
+        while True:
+            for front in self.fronts:
+                front.close_idle()
+            if not any(front.busy for front in self.fronts):
+                break
             await asyncio.sleep(0.01)
-        self.front.close_idle()
         self.watch.watch(False)
         self.pool.close()
+        for close in self._closers:
+            close()
+        if self._store is not None:
+            self._store.close()
+        if self._timer is not None:
+            self._timer.cancel()
         broken = ", ".join(f"{name}: {n}" for name, n in invariants.broken.items()) or "none"
         log.say("stop", f"{self.config.name} has answered all it took; invariants broken: {broken}")
 
-    def _leave(self) -> None:
-        if not self._stop.is_set():
-            log.say("stop", f"{self.config.name} was told to end; {self.core.unanswered} requests in work")
-            self._stop.set()
+    async def _dial(self, node: api.NodeId, address: Address) -> Link:
+        if node in self._boxes:
+            return await self._nvme.dial(node, address)
+        return await self._http.dial(node, address)
+
+    def _submit(self, work: Work, done: Callable[[Answer], None]) -> int:
+        """Every front's way to the core; what a former life sent of a keyed write goes along."""
+        if self._store is not None:
+            name = store_name(work)
+            if name and self._store.failed:
+                advice = self.config.settings.max_retry_after
+                self._loop.call_soon(done, Answer(Verdict.REFUSED, retry_after=advice))
+                return 0
+            earlier = self._store.earlier(name) if name else None
+            if earlier is not None:
+                work.ran = earlier.at, api.NodeEntry(
+                    b"", earlier.shard, earlier.zone, -1, 0.0, 1.0, api.NodeState.GONE
+                )
+        return self.core.submit(clock.now(), work, done)
+
+    def _forget(self) -> None:
+        """Once a minute: what was recorded so long ago that nobody repeats it."""
+        if self._store is not None and not self._stop.is_set():
+            self._store.forget(clock.now() - KEPT)
+            self._loop.call_later(60, self._forget)
 
     def _listed(self, listing: Listing | None) -> None:
         if listing is None:
             self.core.listed(api.NodeList(api.ListKind.FAILED, 0, ()))
         else:
-            self.pool.dial(listing.dials)
+            self.pool.learn(listing.dials)
             self.core.listed(listing.news)
 
+    def _report(self, rid: int, number: int, ended: Ended) -> None:
+        if self._store is not None:
+            self._recorded.ended(rid, number, ended)
+        else:
+            self._ended(rid, number, ended)
+
     def _ended(self, rid: int, number: int, ended: Ended) -> None:
         self.core.ended(clock.now(), rid, number, ended)
 
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -160,6 +160,7 @@
         volume.reserve -= ask.units * reserved
         due = now + min(kind.aim, ask.remaining)
         job = Job(ask, kind, volume, due, min(due, now - spent + kind.aim), reserved, self.random.random())
+        job.ran = ask.ran
         self.jobs[ask.id] = job
         if kind.ordered and ask.key:
             self.chains.setdefault(ask.key, deque()).append(job)
@@ -191,7 +192,8 @@
         """Give a job without a node the best one that can serve it, or keep it while one may still come."""
         ready = [n for n in self.ready.get(job.ask.shard, ()) if self.may_repeat(job, n)]
         if not ready:
-            return self.limbo.append(job) if self.now + 2 * TICK < job.soon else self.refuse(job)
+            wait = self.now + 2 * TICK < job.soon and not self.spent(job)
+            return self.limbo.append(job) if wait else self.refuse(job)
         # A new object goes where it is served soonest; a silent or young node is the last choice.
         node = min(ready, key=lambda n: (
             n.dark < inf or self.warmth(n) < 1, (n.window + n.inflight + len(n.held)) * n.lat / n.window,
@@ -393,12 +395,18 @@
         like.lat += SMOOTH * (took - like.lat)
         like.window += SMOOTH * (node.window - like.window)
 
+    def spent(self, job: Job) -> bool:
+        """Rule 2: may this request run nowhere any more?"""
+        if job.ran is None or job.kind.repeat is api.Repeat.IDEMPOTENT:
+            return False
+        return job.kind.repeat is api.Repeat.AT_MOST_ONCE or self.now >= job.ran[0] + job.kind.repeat_window
+
     def may_repeat(self, job: Job, node: Node) -> bool:
         """Rule 2: may this request run at this node, given what may have run already?"""
         if job.ran is None or job.kind.repeat is api.Repeat.IDEMPOTENT:
             return True
-        when, entry = job.ran
-        if job.kind.repeat is api.Repeat.AT_MOST_ONCE or self.now >= when + job.kind.repeat_window:
+        entry = job.ran[1]
+        if self.spent(job):
             return False
         if job.kind.group is api.Group.CELL:
             return entry.shard == node.entry.shard
