Test the whole program on loopback before HTTP and NVMe stand-ins

Found on the way: a keyed write whose later attempt was refused a connection was recorded as never sent, though its first may have run; the store now lets an earlier send stand.

--- a/sabledyke/net/recorded.py
+++ b/sabledyke/net/recorded.py
@@ -23,7 +23,6 @@
         self.inner: Transport
         self._waiting: set[tuple[int, int]] = set()  # attempts that are not on disk yet
         self._out: dict[tuple[int, int], str] = {}  # attempts of keyed writes, by what they are recorded as
-        self._ran: set[str] = set()  # writes of which a send may have run
 
     def start(self, rid: int, number: int, node: api.NodeId, work: Work, timeout: float) -> None:
         """See ``core.Transport``."""
@@ -32,8 +31,6 @@
             self.inner.start(rid, number, node, work, timeout)
             return
         loop, now, entry = asyncio.get_running_loop(), clock.now(), self._entry(node)
-        if work.ran is not None:
-            self._ran.add(name)
         self._out[rid, number] = name
         self._waiting.add((rid, number))
 
@@ -67,13 +64,9 @@
         name = self._out.pop((rid, number), None)
         if name is not None:
             if ended.may_have_run:
-                self._ran.add(name)
                 self._record.ended(name, "served" if ended.outcome is Outcome.OK else "unknown")
-            last = name not in self._out.values()
-            if last and name not in self._ran:
+            elif name not in self._out.values():
                 self._record.ended(name, "never")
-            elif last:
-                self._ran.discard(name)
         self._report(rid, number, ended)
 
 
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -31,8 +31,10 @@
 class Server:
     """One scheduler."""
 
-    def __init__(self, config: Config, operator: Operator | None = None) -> None:
-        self.config, self.operator = config, operator or Operator()
+    def __init__(
+        self, config: Config, operator: Operator | None = None, linger: float = LINGER
+    ) -> None:
+        self.config, self.operator, self._linger = config, operator or Operator(), linger
         self._loop = asyncio.get_running_loop()
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -105,9 +107,9 @@
         """Keep the doors open for those on their way, answer all that was taken, and close."""
         for front in self.fronts:
             front.leaving = True
-        await asyncio.sleep(LINGER)
-        for door in self.doors:
-            door.close()
+        await asyncio.sleep(self._linger)
+        while self.doors:
+            self.doors.pop().close()
         for front in self.fronts:
             front.closing = True
         while True:
--- a/sabledyke/store.py
+++ b/sabledyke/store.py
@@ -50,6 +50,8 @@
             self._thread.shutdown()
             raise StoreError(f"store {path}: {fault}") from None
 
+        self._ran = set(self._sent)  # those of which a send may have run
+
     def _open(self, path: str) -> dict[str, Sent]:
         self._db = sqlite3.connect(path, isolation_level=None)
         self._db.execute("PRAGMA journal_mode = WAL")
@@ -74,7 +76,11 @@
 
     def ended(self, name: str, state: str) -> None:
         """Record an outcome: ``served``, ``unknown``, or ``never`` where no send of it has run."""
-        if state == "never":
+        if state != "never":
+            self._ran.add(name)
+        elif name in self._ran:
+            return  # an earlier send of it may have run: that stands, whatever became of a later one
+        else:
             self._sent.pop(name, None)
         self._run("UPDATE writes SET state = ? WHERE name = ?", (state, name), lambda _: None)
 
@@ -82,6 +88,7 @@
         """Drop what was sent before a time."""
         for name in [n for n, s in self._sent.items() if s.at < before]:
             del self._sent[name]
+            self._ran.discard(name)
         self._run("DELETE FROM writes WHERE at < ?", (before,), lambda _: None)
 
     def close(self) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,9 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
+import hypothesis
+from hypothesis import strategies as st
+
 from sabledyke import interface as api
 from sabledyke.rules import Scheduler
 
@@ -92,3 +95,28 @@
 
 def of(actions: list[api.Action], kind: type[T]) -> list[T]:
     return [a for a in actions if isinstance(a, kind)]
+
+
+FIXED = hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=150)
+SIZES = st.lists(st.integers(1, 300), max_size=40)
+
+
+def pieces(data: bytes, sizes: list[int]) -> list[bytes]:
+    """The data in cuts of these sizes, and the rest."""
+    out = []
+    for size in sizes:
+        out.append(data[:size])
+        data = data[size:]
+    return [p for p in (*out, data) if p]
+
+
+@st.composite
+def spoilt(draw: st.DrawFn, data: bytes) -> bytes:
+    """Valid bytes of which some are overwritten, left out or cut off; or garbage altogether."""
+    if draw(st.integers(0, 4)) == 0:
+        return draw(st.binary(max_size=400))
+    out = bytearray(data)
+    for _ in range(draw(st.integers(1, 4))):
+        at = draw(st.integers(0, max(0, len(out) - 1)))
+        out[at : at + draw(st.integers(0, 3))] = draw(st.binary(max_size=3))
+    return bytes(out[: draw(st.integers(0, len(out)))])
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,337 @@
+"""The whole program on loopback, before stand-ins of boxes, hosts and discovery."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from sabledyke import interface as api
+from sabledyke import invariants, operator
+from sabledyke.config import Config
+from sabledyke.net.server import Server
+from sabledyke.protocol import discovery
+from tests.helpers import HELD, READ, SETTINGS, WRITE
+from tests.standins import NQN, Discovery, HttpBox, NvmeBox, NvmeHost, ask, http
+
+KEYED = replace(WRITE, aim=900, repeat=api.Repeat.DEDUPLICATED, group=api.Group.CELL, repeat_window=1500)
+DEPLOYMENT = replace(
+    SETTINGS, classes=(replace(READ, aim=900), KEYED), plans=(replace(HELD, name="gold"), HELD),
+    asks_list=True, hosts=1, kinds=("m",),
+)  # fmt: skip
+NVME = f"""
+[nvme]
+listen = "127.0.0.1:1"
+nqn = "nqn.2026-12.example:front"
+box = [{{host = "block", nqn = "{NQN}"}}]
+"""
+VOLUME = """
+[[nvme.volume]]
+namespace = {0}
+volume = "{0}"
+grade = "{1}"
+read_class = "read"
+write_class = "write"
+blocks = 4096
+stripe = [{2}]
+write_deadline_ms = 1000
+"""
+INFO = "IO-Info: units=1,shard=0,hosts=1\n"
+GET = "GET /api/1/{} HTTP/1.1\nReq-Id: {}\nReq-Kind: read\nTier: gold\nReq-Deadline: 1.0\n{}\n"
+PUT = "PUT /api/1/{}?q=1 HTTP/1.1\nReq-Id: {}\nReq-Kind: write\nTier: gold\nReq-Deadline: 1.0\n{}\n"
+
+
+class Rig:
+    """A server with an HTTP box (shard 0) and an NVMe box (shard 1), both fronts open."""
+
+    def __init__(self, store: str = "") -> None:
+        self.http, self.nvme, self.discovery = HttpBox(), NvmeBox(), Discovery()
+        self._store = store
+
+    async def __aenter__(self) -> Rig:
+        for service in (self.http, self.nvme, self.discovery):
+            await service.open()
+        self.discovery.add("plain", self.http.port, 0)
+        self.discovery.add("block", self.nvme.port, 1)
+        rows = VOLUME.format(1, "gold", 0) + VOLUME.format(2, "gold", 1) + VOLUME.format(3, "held", 0)
+        text = NVME + rows + VOLUME.format(4, "held", 1) + f'[store]\npath = "{self._store}"\n'
+        extras = replace(operator.read(text, DEPLOYMENT), listen=("127.0.0.1", 0))
+        known = discovery.read(self.discovery.listing(), DEPLOYMENT, cached=True)
+        here = ("127.0.0.1", self.discovery.port)
+        self.server = Server(Config("n0", ("127.0.0.1", 0), here, 1, 256, known, DEPLOYMENT), extras, 0.1)
+        self.server.start()
+        self.port, self.nvme_port = (door.port for door in self.server.doors)
+        return self
+
+    async def host(self) -> NvmeHost:
+        host = NvmeHost(self.nvme_port, "nqn.2026-12.example:front")
+        await host.open()
+        return host
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.leave()
+        await self.server.finish()
+        for service in (self.http, self.nvme, self.discovery):
+            service.die()
+        assert not invariants.broken
+
+
+def play(story: Callable[[Rig], Awaitable[None]], store: str = "") -> None:
+    async def run() -> None:
+        async with asyncio.timeout(30), Rig(store) as rig:
+            await story(rig)
+
+    asyncio.run(run())
+
+
+def test_requests_pass_unchanged_and_answers_come_back() -> None:
+    async def story(rig: Rig) -> None:
+        assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
+        text = PUT.format("ab", "id-1", INFO + "Idempotency-Key: k1\nContent-Length: 5\n")
+        assert (await ask(rig.port, text, b"hello"))[::2] == (200, b"hello")
+        first, headers, body = rig.http.seen[-1]
+        assert first == "PUT /api/1/ab?q=1 HTTP/1.1" and body == b"hello"
+        assert headers["req-id"] == "id-1" and headers["idempotency-key"] == "k1"
+        assert 0 < float(headers["req-deadline"]) <= 1
+
+    play(story)
+
+
+def test_bad_bytes_harm_only_their_sender() -> None:
+    async def story(rig: Rig) -> None:
+        for text in ("no http\n\n", GET.format("zz", "i", ""), GET.format(1, "i", "Content-Length: 99999\n"),
+                     "GET / HTTP/1.1\nX: " + "x" * 20000 + "\n\n"):  # fmt: skip
+            assert (await ask(rig.port, text))[0] == 400
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.nvme_port)
+        writer.write(bytes([77]) * 200)
+        assert (await reader.read())[0] == 3  # C2HTermReq, then the end
+        assert (await ask(rig.port, GET.format(1, "i", INFO)))[0] == 200
+
+    play(story)
+
+
+@pytest.mark.parametrize(("answer", "status", "tries"), [
+    (http(500), 500, 3), (http(503, b"", "Srv-Declined: 1"), 503, 3), (b"garbage\r\n\r\n", 500, 3),
+    (None, 500, 3),
+])  # fmt: skip
+def test_a_failed_write_stays_within_its_attempts(answer: bytes | None, status: int, tries: int) -> None:
+    async def story(rig: Rig) -> None:
+        async def say(_: object) -> bytes | None:
+            return answer
+
+        rig.http.answer = say
+        text = PUT.format(1, "i", INFO + "Idempotency-Key: k\nContent-Length: 0\n")
+        assert (await ask(rig.port, text))[0] == status
+        assert 1 <= len(rig.http.seen) <= tries and {s[1]["req-id"] for s in rig.http.seen} == {"i"}
+
+    play(story)
+
+
+def test_a_client_that_leaves_calls_its_attempt_off() -> None:
+    async def story(rig: Rig) -> None:
+        ended = asyncio.Event()
+
+        async def wait(writer: asyncio.StreamWriter) -> bytes | None:
+            client.close()
+            await client.wait_closed()
+            while rig.server.core.unanswered != 0:
+                await asyncio.sleep(0.01)
+            ended.set()
+            return None
+
+        rig.http.answer = wait
+        _, client = await asyncio.open_connection("127.0.0.1", rig.port)
+        client.write(GET.format(1, "i", INFO).replace("\n", "\r\n").encode())
+        await ended.wait()
+        assert len(rig.http.seen) == 1
+
+    play(story)
+
+
+def test_a_silent_box_costs_a_client_no_more_than_its_deadline() -> None:
+    async def story(rig: Rig) -> None:
+        async def never(_: object) -> bytes | None:
+            await asyncio.sleep(3600)
+            return None
+
+        rig.http.answer = never
+        text = GET.format(1, "i", INFO)
+        status, _, _ = await ask(rig.port, text)
+        assert status in (500, 503)
+
+    play(story)
+
+
+def test_the_end_waits_for_what_was_taken() -> None:
+    async def story(rig: Rig) -> None:
+        asked, go = asyncio.Event(), asyncio.Event()
+
+        async def slowly(_: object) -> bytes | None:
+            asked.set()
+            await go.wait()
+            return http(200, b"late")
+
+        rig.http.answer = slowly
+        one = asyncio.create_task(ask(rig.port, GET.format(1, "i", INFO)))
+        await asked.wait()
+        rig.server.leave()
+        end = asyncio.create_task(rig.server.finish())
+        while not rig.server.fronts[0].leaving:
+            await asyncio.sleep(0)
+        two = await ask(rig.port, "GET /_health HTTP/1.1\n\n")  # still let in
+        assert two[0] == 200 and two[1]["connection"] == "close"
+        go.set()
+        status, headers, body = await one
+        assert (status, headers["connection"], body) == (200, "close", b"late")
+        await end
+        with pytest.raises(OSError):
+            await ask(rig.port, "GET /_health HTTP/1.1\n\n")
+
+    play(story)
+
+
+@pytest.mark.parametrize("nsid", [1, 2])
+def test_an_nvme_host_writes_and_reads_through_either_kind_of_box(nsid: int) -> None:
+    async def story(rig: Rig) -> None:
+        host, data = await rig.host(), bytes(range(256)) * 32
+        assert await host.write(nsid, 16, data) == 0
+        if nsid == 1:
+            first, headers, body = rig.http.seen[-1]
+            assert first == f"PUT /api/{1:016x}/{16:016x} HTTP/1.1" and body == data
+            assert len(headers["idempotency-key"]) == 16
+
+            async def stored(_: object) -> bytes | None:
+                return http(200, data)
+
+            rig.http.answer = stored
+        assert await host.read(nsid, 16, 16) == (0, data)
+        host.close()
+
+    play(story)
+
+
+def test_what_is_not_supported_gets_its_status() -> None:
+    async def story(rig: Rig) -> None:
+        host = await rig.host()
+        status, page = await host.identify(1)
+        assert status == 0 and page[78:80] == host.cntlid.to_bytes(2, "little")
+        assert (await host.identify(2))[1][:20] == b"".join(n.to_bytes(4, "little") for n in (1, 2, 3, 4, 0))
+        assert (await host.identify(0, 1))[1][:8] == (4096).to_bytes(8, "little")
+        dnr = 1 << 14
+        assert (await host.identify(0, 99))[0] == 0x0B | dnr
+        assert (await host.identify(0x1C))[0] == 0x02 | dnr
+        assert await host.admin(0x18) == 0
+        assert await host.admin(0x02) == 0x01 | dnr
+        assert await host.admin(0x09, (6,)) == 0x02 | dnr
+        assert (await host.read(9, 0, 1))[0] == 0x0B | dnr
+        assert (await host.read(1, 4090, 7))[0] == 0x80 | dnr
+        assert (await host.read(1, 120, 16))[0] == 0x02 | dnr  # across a stripe
+        assert (await host.command(host.io, 0, 1))[0] == 0  # Flush
+        assert (await host.command(host.io, 8, 1))[0] == 0x01 | dnr
+        host.close()
+
+    play(story)
+
+
+def test_refused_commands_may_come_again_and_failed_ones_may_not() -> None:
+    async def story(rig: Rig) -> None:
+        host = await rig.host()
+        rig.nvme.status = 0x82
+        status = await host.write(2, 0, bytes(512))
+        assert status & 0x7FF == 0x82 and not status >> 14 and status >> 11 & 3
+        rig.nvme.status = 0x06
+        assert await host.write(2, 0, bytes(512)) == 0x06 | 1 << 14
+        host.close()
+
+    play(story)
+
+
+def test_a_write_cut_off_mid_transfer_is_not_sent_beyond_its_key() -> None:
+    """The box dies with part of the data: the write may have begun; only its own cell may see it again."""
+
+    async def story(rig: Rig) -> None:
+        spare = NvmeBox()  # another cell, which stays empty
+        await spare.open()
+        rig.nvme.mercy = 4096
+        host = await rig.host()
+        assert await host.write(2, 0, bytes(32768), key=77) == 0x06 | 1 << 14
+        assert rig.nvme.begun == 1 and not rig.nvme.writes and not spare.begun
+        assert not [s for s in rig.http.seen if s[0].startswith("PUT")]
+        host.close()
+        spare.die()
+
+    play(story)
+
+
+def test_http_and_nvme_boxes_serve_a_grade_alike() -> None:
+    """The same work of two grades to both kinds of boxes, by both fronts: a grade gets the same of each."""
+
+    async def story(rig: Rig) -> None:
+        async def by_http(tier: str, volume: int, shard: int, n: int) -> bool:
+            info = INFO.replace("shard=0", f"shard={shard}") + f"Idempotency-Key: {volume}-{n}\n"
+            info += "Content-Length: 4\n"
+            text = PUT.format(n, f"{volume}-{n}", info).replace("/1/", f"/{volume}/").replace("gold", tier)
+            return (await ask(rig.port, text, b"data"))[0] == 200
+
+        async def by_nvme(volume: int, n: int) -> int:
+            host = await rig.host()
+            served = 0
+            for i in range(n):
+                served += await host.write(volume, 1024 + i, bytes(512)) == 0
+            host.close()
+            return served
+
+        volumes = {("gold", 0): 1, ("gold", 1): 2, ("held", 0): 3, ("held", 1): 4}
+        http_asks = [by_http(tier, v, shard, n) for (tier, shard), v in volumes.items() for n in range(3)]
+        answers = await asyncio.gather(*http_asks)
+        nvme = await asyncio.gather(*(by_nvme(v, 3) for v in volumes.values()))
+        served = {key: sum(answers[3 * i : 3 * i + 3]) + nvme[i] for i, key in enumerate(volumes)}
+        for grade in ("gold", "held"):
+            assert served[grade, 0] == served[grade, 1] > 0
+        assert len(rig.nvme.writes) == served["gold", 1] + served["held", 1]
+        assert len(rig.http.seen) == served["gold", 0] + served["held", 0]
+
+    play(story)
+
+
+def test_a_restart_does_not_repeat_a_recorded_write(tmp_path: Path) -> None:
+    """A write that may have run in a former life: outside its window it fails, unsent."""
+    text = PUT.format(1, "i", INFO + "Idempotency-Key: k\nContent-Length: 0\n")
+
+    async def cut(rig: Rig) -> None:
+        async def die(_: object) -> bytes | None:
+            rig.http.die()
+            return None
+
+        rig.http.answer = die
+        assert (await ask(rig.port, text))[0] == 500
+
+    async def again(rig: Rig) -> None:
+        assert rig.server._store is not None
+        name, sent = next(iter(rig.server._store._sent.items()))
+        assert name == "1/1/k" and sent.shard == 0
+        rig.server._store._sent[name] = replace(sent, at=sent.at - KEYED.repeat_window)
+        assert (await ask(rig.port, text))[0] == 500
+        assert not rig.http.seen
+
+    path = str(tmp_path / "record.sqlite3")
+    play(cut, path)
+    play(again, path)
+
+
+def test_a_store_that_fails_stops_keyed_writes_and_no_reads(tmp_path: Path) -> None:
+    async def story(rig: Rig) -> None:
+        store = rig.server._store
+        assert store is not None
+        store._thread.submit(store._db.execute, "DROP TABLE writes").result()
+        text = PUT.format(1, "i", INFO + "Idempotency-Key: k\nContent-Length: 0\n")
+        for _ in range(2):
+            status, headers, _ = await ask(rig.port, text)
+            assert status == 503
+        assert float(headers["retry-after"]) > 0 and store.failed and not rig.http.seen
+        assert (await ask(rig.port, GET.format(1, "i", INFO)))[0] == 200
+
+    play(story, str(tmp_path / "record.sqlite3"))
