--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -48,7 +48,7 @@
         raise ConfigError(f"{path}: not an object")
     try:
         return _config(data, environ)
-    except (SettingsError, ListError, ValueError) as fault:
+    except (SettingsError, ListError, ConfigError, ValueError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
 
 
@@ -61,6 +61,10 @@
 
     if not isinstance(data.get("settings"), dict):
         raise ConfigError("settings are missing from the file")
+    try:
+        seed = int(str(data.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed must be hex digits, not {data['seed']!r}") from None
     settings = build(dict(flatten(data["settings"])))
     limits, known = data.get("limits") or {}, data.get("known")
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
@@ -70,7 +74,7 @@
         name=said("name"),
         listen=address(said("listen")),
         discovery=address(said("discovery")),
-        seed=int(str(data.get("seed", "0")), 16),
+        seed=seed,
         sockets=sockets,
         known=None if known is None else read(known, settings, cached=True),
         settings=settings,
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -133,7 +133,7 @@
         self.blocks: dict[tuple[int, int], bytes] = {}
         self.writes: list[tuple[int, int, int]] = []  # namespace, first block, key: whole ones only
         self.begun = 0  # writes whose data it asked for
-        self.mercy = 1 << 40
+        self.mercy, self.deadly = 1 << 40, True  # what it does then: die, or only drop the connection
         self.status = 0
         self.keys: set[int] = set()
 
@@ -178,7 +178,10 @@
             assert kind == 6 and struct.unpack_from("<HHII", header) == (cid, 1, len(data), len(part))
             data += part
             if len(data) > self.mercy:
-                self.die()
+                self.mercy = 1 << 40
+                if self.deadly:
+                    self.die()
+                writer.transport.abort()
                 raise ConnectionResetError
         self.writes.append((nsid, slba, key))
         if key not in self.keys:
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,134 @@
+"""The core between a made-up front, transport and clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from sabledyke import interface as api
+from sabledyke import invariants
+from sabledyke.core import CUT, GUARD, Answer, Core, Ended, Verdict, Work
+from sabledyke.interface import Outcome
+from tests.helpers import SETTINGS, WRITE, listing, node
+
+OK = Ended(Outcome.OK, True, b"body")
+
+
+class Bench:
+    """A core, and what it asked of its ports."""
+
+    def __init__(self, module: Callable[[float, list[api.Event]], list[api.Action]] | None = None) -> None:
+        self.started: list[tuple[int, int, api.NodeId, float]] = []
+        self.cancelled: list[tuple[int, int]] = []
+        self.answers: list[Answer] = []
+        self.watched: list[bool] = []
+        self.now = 1000.0
+        self.core = Core(SETTINGS, 1, self, self, lambda: None)
+        if module is not None:
+            self.core.scheduler.handle = module  # type: ignore[method-assign, assignment]
+        self.core.listed(listing(node(1)))
+        self.core.turn(self.now)
+
+    def start(self, rid: int, number: int, where: api.NodeId, work: Work, timeout: float) -> None:
+        self.started.append((rid, number, where, timeout))
+
+    def cancel(self, rid: int, number: int) -> None:
+        self.cancelled.append((rid, number))
+        self.core.ended(self.now, rid, number, Ended(Outcome.CANCELLED, True))
+
+    def close_idle(self, where: api.NodeId) -> None:
+        raise AssertionError("not asked for here")
+
+    def watch(self, on: bool) -> None:
+        self.watched.append(on)
+
+    def fetch(self) -> None:
+        raise AssertionError("not asked for here")
+
+    def ask(self, **changes: Any) -> int:
+        work = Work(0, 0, 1, 1, 2.0, 1, 1.0, 1000.0, False, False, "i")
+        rid = self.core.submit(self.now, replace(work, **changes), self.answers.append)
+        self.core.turn(self.now)
+        return rid
+
+    def wait(self, ms: float) -> None:
+        end = self.now + ms
+        while (due := self.core.due()) is not None and due <= end:
+            self.now = max(self.now, due)
+            self.core.turn(self.now)
+        self.now = end
+
+
+def test_an_answer_goes_out_at_once_and_once() -> None:
+    bench = Bench()
+    rid = bench.ask()
+    assert bench.started == [(rid, 0, node(1).node, 200)]  # until the aim: later it earns little
+    bench.core.ended(bench.now, rid, 0, OK)
+    assert bench.answers == [Answer(Verdict.SERVED, b"body")]  # before the module's turn
+    bench.wait(2000)
+    assert len(bench.answers) == 1 and not bench.core.unanswered
+
+
+def test_a_client_gone_is_owed_nothing_and_its_attempt_is_called_off() -> None:
+    bench = Bench()
+    rid = bench.ask()
+    bench.core.depart(rid)
+    bench.core.turn(bench.now)
+    assert bench.cancelled == [(rid, 0)] and not bench.answers
+    bench.wait(2000)
+    assert not bench.answers and not bench.core._open
+
+
+def test_a_silent_module_costs_no_client_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(invariants, "broken", type(invariants.broken)())
+    bench = Bench(lambda now, events: [])
+    bench.ask(remaining=500.0)
+    with pytest.raises(AssertionError):  # counted only, under -O
+        bench.wait(500)
+    assert bench.answers == [Answer(Verdict.FAILED)] and bench.now == 1500 - GUARD
+    assert sum(invariants.broken.values()) == 1
+
+
+def test_attempts_end_before_the_deadline_and_none_starts_after() -> None:
+    def send(_: float, events: list[api.Event]) -> list[api.Action]:
+        return [api.Send(e.id, node(1).node) for e in events if isinstance(e, api.Request)]
+
+    bench = Bench(send)
+    bench.ask(remaining=500.0)
+    assert [t for *_, t in bench.started] == [500 - CUT]
+    bench.ask(remaining=CUT)
+    assert len(bench.started) == 1  # moot
+
+
+def test_a_module_that_would_repeat_a_write_wrongly_is_held_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(invariants, "broken", type(invariants.broken)())
+    bench = Bench(lambda now, events: [])
+    keyed = replace(WRITE, repeat=api.Repeat.DEDUPLICATED, group=api.Group.CELL, repeat_window=300)
+    bench.core.settings = replace(SETTINGS, classes=(keyed,))
+    bench.core.listed(listing(node(1), node(2)))
+    rid = bench.ask(write=True)
+
+    def send(now: float, where: int) -> None:
+        bench.core._carry_out(now, api.Send(rid, node(where).node))
+
+    send(1000, 1)
+    bench.core.ended(1010, rid, 0, Ended(Outcome.RESET, True))
+    send(1100, 1)  # its cell, inside its window
+    for now, where in ((1100, 2), (1300, 1)):
+        with pytest.raises(AssertionError):
+            send(now, where)
+    assert [n for _, n, *_ in bench.started] == [0, 1]
+
+
+def test_a_fault_in_the_module_does_not_end_the_program(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(invariants, "broken", type(invariants.broken)())
+
+    def fault(now: float, events: list[api.Event]) -> list[api.Action]:
+        raise KeyError("a bug")
+
+    with pytest.raises(AssertionError, match="without a fault"):
+        Bench(fault)
+    assert sum(invariants.broken.values()) == 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -249,18 +249,25 @@
     play(story)
 
 
-def test_a_write_cut_off_mid_transfer_is_not_sent_beyond_its_key() -> None:
-    """The box dies with part of the data: the write may have begun; only its own cell may see it again."""
+@pytest.mark.parametrize("deadly", [True, False])
+def test_a_write_cut_off_mid_transfer_is_not_sent_beyond_its_key(deadly: bool) -> None:
+    """A box breaks off with part of the data: the write may have begun, only its cell may see it again."""
 
     async def story(rig: Rig) -> None:
-        spare = NvmeBox()  # another cell, which stays empty
+        spare = NvmeBox()  # another cell
         await spare.open()
-        rig.nvme.mercy = 4096
-        host = await rig.host()
-        assert await host.write(2, 0, bytes(32768), key=77) == 0x06 | 1 << 14
-        assert rig.nvme.begun == 1 and not rig.nvme.writes and not spare.begun
-        assert not [s for s in rig.http.seen if s[0].startswith("PUT")]
-        host.close()
+        rig.server._boxes[b"spare"] = NQN
+        rig.discovery.add("spare", spare.port, 2)
+        rig.discovery.hosts = rig.discovery.hosts[1:]  # none that speaks HTTP
+        rig.server._listed(discovery.read(rig.discovery.listing(), DEPLOYMENT))
+        for box in (rig.nvme, spare):
+            box.mercy, box.deadly = 1000, deadly
+        info = INFO.replace("shard=0", "shard=-1") + "Idempotency-Key: k\nContent-Length: 3000\n"
+        text = PUT.format(1, "i", info)
+        status, _, _ = await ask(rig.port, text, bytes(3000))
+        assert sorted((rig.nvme.begun, spare.begun)) == [0, 1 if deadly else 2]
+        assert len(rig.nvme.writes + spare.writes) == (0 if deadly else 1)
+        assert status == (500 if deadly else 200)
         spare.die()
 
     play(story)
--- /dev/null
+++ b/tests/test_outside.py
@@ -0,0 +1,133 @@
+"""Configuration, the operator's file, the log and the command line."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from sabledyke import config, operator, wire
+from sabledyke.__main__ import main
+from sabledyke.log import Limiter
+from sabledyke.protocol.discovery import ListError
+from sabledyke.store import Sent, Store
+from tests.helpers import FREE, READ, SETTINGS, WRITE
+from tests.test_wire import CONF
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = (ROOT / "deploy" / "operator.example.toml").read_text()
+SITE = replace(
+    SETTINGS, classes=(replace(READ, name="lettura"), replace(WRITE, name="scontrino")),
+    plans=(replace(FREE, name="base"), replace(FREE, name="cassa-prima")),
+)  # fmt: skip
+
+
+def nested() -> dict[str, Any]:
+    """The wire tests' settings as the platform's JSON has them."""
+    out: dict[str, Any] = {}
+    for line in CONF.splitlines():
+        path, value = line.split("=")
+        *parents, last = path.split(".")
+        at = out
+        for name in parents:
+            at = at.setdefault(name, {})
+        at[last] = value
+    for name in ("profiles", "grades"):
+        out[name] = [out[name]["0"]]
+    out["zones"], out["profiles"][0]["keep_order"] = ["x", "y"], True
+    out["family_info"]["changes_data"] = [True]
+    out["ceilings"]["try_limit"] = 2
+    return out
+
+
+def setup(tmp_path: Path, **changes: Any) -> dict[str, str]:
+    known = {"seq": 41, "whole": True, "hosts": []}
+    data = {"name": "n3", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+            "limits": {"sockets": 1024}, "known": known, "settings": nested()} | changes  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(data))
+    return {"GW_CONFIG": str(path), "GW_LISTEN": "127.0.0.1:9090"}
+
+
+def test_the_json_and_the_wire_build_the_same_settings(tmp_path: Path) -> None:
+    got = config.load(setup(tmp_path))
+    assert got.settings == wire.read_settings(CONF)
+    assert (got.listen, got.discovery) == (("127.0.0.1", 9090), ("127.0.0.1", 8500))  # the environment wins
+    assert got.seed == 0x8C1F and got.known is not None and got.known.news.version == 41
+
+
+@pytest.mark.parametrize(("changes", "says"), [
+    ({"listen": 5, "discovery": None}, "discovery"), ({"settings": {}}, "setting me"), ({"seed": "x"}, "seed"),
+    ({"limits": {"sockets": 3}}, "limits.sockets"), ({"known": []}, "list"), ({"settings": None}, "settings"),
+    ({"settings": nested() | {"siblings": 0}}, "hosts"), ({"discovery": "nowhere"}, "nowhere"),
+])  # fmt: skip
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, changes: dict[str, Any], says: str) -> None:
+    done = subprocess.run(
+        [sys.executable, "-O", "-m", "sabledyke"], cwd=ROOT, capture_output=True, text=True,
+        env={**os.environ, **setup(tmp_path, **changes)},
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and not done.stdout
+    assert done.stderr.startswith("sabledyke: ") and says in done.stderr
+
+
+def test_the_commands(tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: Any) -> None:
+    assert main(["version"]) == 0 and capsys.readouterr().out.startswith("sabledyke 0")
+    monkeypatch.delenv("GW_CONFIG", raising=False)
+    assert main(["check-config"]) == 2 and "GW_CONFIG" in capsys.readouterr().err
+    for name, value in setup(tmp_path).items():
+        monkeypatch.setenv(name, value)
+    assert main(["check-config"]) == 0 and "n3: listens at 127.0.0.1:9090" in capsys.readouterr().out
+    with pytest.raises(SystemExit):
+        main(["serve", "--nonsense"])
+
+
+def test_the_example_file_is_valid() -> None:
+    got = operator.read(EXAMPLE, SITE)
+    assert got.listen == ("127.0.0.1", 4420) and got.boxes[0][0] == b"s-00000001" and got.store
+    assert got.volumes[0].plan == 1 and got.volumes[0].write_class == 1 and got.volumes[0].stripe == (0, 3)
+
+
+@pytest.mark.parametrize(("old", "new", "says"), [
+    ('"cassa-prima"', '"gold"', "grade"), ("namespace = 1", "namespace = 0", "namespace"),
+    ("[0, 3]", "[]", "stripe"), ("unit_bytes", "unit_byte", "unit_byte"), ("5000", "-1", "read_deadline_ms"),
+    ('listen = "127.0.0.1:4420"', 'listen = "x"', "address"), ("blocks = 2097152", 'blocks = "9"', "blocks"),
+    ("[store]", "[stores]", "stores"), ('nqn = "nqn.2026-12.example:magazzino-lodi"', "", "nqn"),
+])  # fmt: skip
+def test_a_bad_operators_file_says_where(old: str, new: str, says: str) -> None:
+    assert EXAMPLE.count(old)
+    with pytest.raises((operator.OperatorError, ListError), match=says):
+        operator.read(EXAMPLE.replace(old, new, 1), SITE)
+
+
+def test_the_log_keeps_back_what_comes_too_often() -> None:
+    clock = [0.0]
+    limiter = Limiter(lambda: clock[0], burst=2, window=10)
+    said = [limiter.lines("a", str(i)) for i in range(5)] + [limiter.lines("b", "x")]
+    assert said == [["sabledyke a: 0"], ["sabledyke a: 1"], [], [], [], ["sabledyke b: x"]]
+    clock[0] = 10.0
+    assert limiter.lines("a", "5") == ["sabledyke a: 3 more like the last left out", "sabledyke a: 5"]
+
+
+def test_the_store_remembers_what_may_have_run(tmp_path: Path) -> None:
+    path = str(tmp_path / "record.sqlite3")
+    store, told = Store(path), list[bool]()
+    now = 9e15
+    for name in ("served", "never", "both", "old"):
+        store.sending(name, Sent(now - 5 * (name == "old"), 1, 0), told.append)
+    store.ended("served", "served")
+    store.ended("never", "never")
+    store.ended("both", "unknown")
+    store.ended("both", "never")  # a later send of it was refused; the first still may have run
+    store.forget(now - 1)
+    store.close()
+    assert told == [True] * 4
+    again = Store(path)
+    assert again.earlier("served") == again.earlier("both") == Sent(now, 1, 0)
+    assert again.earlier("never") is again.earlier("old") is None
+    again.close()
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,165 @@
+"""Parsers under random cuts of valid bytes, and under spoilt bytes: never anything but their own error."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import replace
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sabledyke import operator
+from sabledyke.core import Answer, Verdict
+from sabledyke.protocol import discovery, gateway, nvme
+from sabledyke.protocol.blocks import Translator
+from sabledyke.protocol.http import (
+    MAX_BODY,
+    HttpError,
+    Message,
+    Parser,
+    encode_request,
+    encode_response,
+)  # fmt: skip
+from tests.helpers import FIXED, SETTINGS, SIZES, pieces, spoilt
+
+REQUESTS = encode_request("PUT", "/api/1/2?x", [("Req-Id", "a"), ("X", "")], b"body") + encode_request(
+    "GET", "/api/1/3", [("Req-Id", "b")], b""
+)
+CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0A\r\n0123456789\r\n"
+CHUNKS += b"0\r\nT: v\r\n\r\n"
+RESPONSES = b"HTTP/1.1 100 Continue\r\n\r\n" + CHUNKS + encode_response(503, [("Srv-Declined", "1")], b"no")
+LIST = orjson.dumps({"seq": 4, "whole": False, "hosts": [
+    {"host": "s1", "dial": "127.0.0.1:80", "site": "b", "class": "m", "block": 3, "health": "ready",
+     "share": 1, "born_ms": 12}]})  # fmt: skip
+HEADERS = {"req-id": "x", "req-kind": "read", "tier": "free", "req-deadline": "0.5",
+           "io-info": "units=2,shard=5,hosts=3"}  # fmt: skip
+JSON = st.recursive(st.none() | st.integers(-9, 9) | st.text(max_size=3), st.lists)
+NQN = "nqn.test"
+
+
+def http(parser: Parser, parts: list[bytes]) -> list[Message]:
+    out = []
+    for part in parts:
+        parser.feed(part)
+        while (message := parser.next()) is not None:
+            out.append(message)
+    return out
+
+
+def session() -> bytes:
+    """What a host says to set up its admin queue, and then to look at a namespace."""
+    machine = nvme.Initiator()
+    for command, data in (
+        nvme.connect(NQN, 0, nvme.DYNAMIC, (bytes(16), "nqn.host"), 0),
+        (nvme.property_set(nvme.Prop.CC, 1), b""),
+        (nvme.property_get(nvme.Prop.CSTS), b""),
+        (nvme.Command(nvme.Admin.IDENTIFY, 0, 1, sgl_length=4096), b""),
+        (nvme.Command(nvme.Admin.KEEP_ALIVE, 0), b""),
+    ):
+        machine.submit(command, data, inside=bool(data))
+        machine._command = None  # only what it sends is wanted
+    return bytes(machine.output)
+
+
+def answers(parts: list[bytes]) -> tuple[nvme.Target, bytes]:
+    target = nvme.Target(nvme.Subsystem(NQN, {1: nvme.Namespace(4096)}))
+    for part in parts:
+        target.feed(part)
+    return target, bytes(target.output)
+
+
+@FIXED
+@given(SIZES)
+def test_http_messages_are_the_same_in_any_cuts(sizes: list[int]) -> None:
+    one, two = http(Parser(), pieces(REQUESTS, sizes))
+    assert (one.method, one.target, one.body) == ("PUT", "/api/1/2?x", b"body") and one.headers["x"] == ""
+    assert (two.method, two.headers["req-id"], two.body) == ("GET", "b", b"")
+    one, two = http(Parser(responses=True), pieces(RESPONSES, sizes))
+    assert (one.status, one.body, two.status, two.body) == (200, b"abc0123456789", 503, b"no")
+
+
+@FIXED
+@given(st.one_of(spoilt(REQUESTS), spoilt(RESPONSES)), SIZES, st.booleans())
+def test_spoilt_http_is_an_http_error_or_a_message(data: bytes, sizes: list[int], responses: bool) -> None:
+    with contextlib.suppress(HttpError):
+        for message in http(Parser(responses=responses), pieces(data, sizes)):
+            assert len(message.body) <= MAX_BODY
+
+
+@FIXED
+@given(st.dictionaries(st.sampled_from([*HEADERS, "x"]), st.text(max_size=12)), st.text(max_size=30))
+def test_spoilt_headers_are_an_http_error_or_work(changes: dict[str, str], target: str) -> None:
+    reader = gateway.Reader(SETTINGS)
+    good = reader.work(Message("GET", "/api/00000003b4d60021/7f", headers=HEADERS))
+    assert (good.volume, good.key, good.units, good.shard, good.hosts) == (0x3B4D60021, 0x7F, 2, 5, 3)
+    assert good.remaining == 500 and not good.write
+    with contextlib.suppress(HttpError):
+        assert reader.work(Message("PUT", target, headers={**HEADERS, **changes})).remaining > 0
+    strange = {"srv-load": target, "volume-load": target, "other-hosts": target}
+    assert reader.ended(Message(status=200, headers=strange)).may_have_run
+
+
+@FIXED
+@given(SIZES)
+def test_nvme_sessions_are_the_same_in_any_cuts(sizes: list[int]) -> None:
+    whole = answers([session()])[1]
+    assert answers(pieces(session(), sizes))[1] == whole
+    machine = nvme.Initiator()
+    machine.submit(*nvme.connect(NQN, 0, nvme.DYNAMIC, (bytes(16), "nqn.host"), 0), inside=True)
+    got = [d for p in pieces(whole[: 128 + 24], sizes) for d in machine.feed(p)]
+    assert [(d.status, d.result) for d, _ in got] == [(nvme.Status.OK, 1)]
+
+
+@FIXED
+@given(spoilt(session()), spoilt(answers([session()])[1]), SIZES)
+def test_spoilt_nvme_is_an_nvme_error_or_an_answer(host: bytes, box: bytes, sizes: list[int]) -> None:
+    target = nvme.Target(nvme.Subsystem(NQN, {1: nvme.Namespace(4096)}))
+    try:
+        for part in pieces(host, sizes):
+            target.feed(part)
+    except nvme.NvmeError:
+        assert nvme.Pdu.C2H_TERM in target.output
+    target.close()
+    assert not target.subsystem.controllers
+    machine = nvme.Initiator()
+    machine.submit(nvme.Command(nvme.Admin.IDENTIFY, 0, 1, sgl_length=4096))
+    with contextlib.suppress(nvme.NvmeError):
+        for part in pieces(box, sizes):
+            machine.feed(part)
+
+
+@FIXED
+@given(st.one_of(spoilt(LIST), JSON.map(orjson.dumps)))
+def test_spoilt_lists_are_a_list_error_or_a_list(data: bytes) -> None:
+    settings = replace(SETTINGS, kinds=("m",))
+    good = discovery.parse(LIST, settings)
+    assert good.dials == {b"s1": ("127.0.0.1", 80)} and good.news.entries[0].zone == 1
+    with contextlib.suppress(discovery.ListError):
+        assert discovery.parse(data, settings).news.version is not None
+
+
+@FIXED
+@given(st.binary(max_size=2000), st.integers(0, 7), st.booleans())
+def test_an_http_object_comes_back_from_blocks_as_it_was(body: bytes, piece: int, keyed: bool) -> None:
+    text = """
+[[nvme.volume]]
+namespace = 5
+volume = "9"
+grade = "free"
+read_class = "read"
+write_class = "write"
+blocks = 64
+stripe = [0]
+"""
+    translator = Translator(SETTINGS, NQN, operator.read(text, SETTINGS).volumes)
+    headers = {**HEADERS, "idempotency-key": "k" * keyed}
+    reader = gateway.Reader(SETTINGS)
+    work = reader.work(Message("PUT", f"/api/9/{piece}", headers=headers, body=body))
+    command, data = translator.to_box(work)
+    assert command.slba == piece * 8 and bool(command.cdw2) is keyed and len(data) % 512 == 0
+    read = reader.work(Message("GET", f"/api/9/{piece}", headers=headers))
+    stored = data.ljust(translator.to_box(read)[0].sgl_length, b"\0")
+    assert translator.from_box(read, nvme.Completion(1, 0), stored).body == body
+    done, _ = translator.completion(command, Answer(Verdict.REFUSED, retry_after=250))
+    assert (done.status, done.dnr, nvme.RETRY_DELAYS[done.crd - 1]) == (nvme.Status.NOT_READY, False, 300)
