Tell refused clients when to come back

A refusal carried no Retry-After: refuse() in rules.py answered with api.Refuse(id) and no advice. It now says the wait until there may be room (the queue ahead, the end of the period, the limit's refill), at least a quarter of the shortest aim and at most what clients honour. It is still given at once.

--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -26,6 +26,7 @@
 SMOOTH, NEWS, FADE = 0.15, 4000.0, 10000.0  # weight of an answer; ms: news grows old, gives way by half
 CAP_POWER = 2.5  # work at x of the full worth may fill x ** (CAP_POWER * answer time / aim) of the cap
 PATIENCE, OVERDUE, LOSSY = 0.4, 2.5, 0.05  # overdue after shortest aims, answer times; share of answers lost
+RETURN = 0.25  # shortest aims that a refused client is asked to stay away at least
 SILENCE = 2.0  # shortest aims without a sign of life; trials then back off up to a period
 LUCK = 0.5  # part of a young node's safe units that all hosts together aim at
 TICK = 10.0  # ms between looks at what is held or out
@@ -164,8 +165,8 @@
         self.jobs[ask.id] = job
         if kind.ordered and ask.key:
             self.chains.setdefault(ask.key, deque()).append(job)
-        if self.short_of_limit(job) > max(0.0, job.soon - now):
-            return self.refuse(job)
+        if (wait := self.short_of_limit(job)) > max(0.0, job.soon - now):
+            return self.refuse(job, wait)
         self.find_node(job)
 
     def find_node(self, job: Job) -> None:
@@ -204,7 +205,7 @@
         rank = 1.0 if job.reserved else self.s.share_worth
         job.worth = rank * job.kind.worth * job.volume.plan.worth_factor
         if not job.sent and not self.admit(job, node):
-            return self.refuse(job)
+            return self.refuse(job, (node.period + 1) * self.period - self.now)
         node.held.append(job)
         self.active[node] = None
 
@@ -274,7 +275,7 @@
         for job in held:
             turn = job.worth > blocked and self.turn(job, node)
             if now + node.lat / 2 > job.soon:  # it can't win any more
-                self.refuse(job)
+                self.refuse(job, ahead * node.lat / node.window)
             elif turn and self.room(job, node):
                 self.send(job, node)
             else:
@@ -287,7 +288,7 @@
                     worst = min(reversed(kept), key=lambda j: j.worth)
                     kept.remove(worst)
                     ahead -= worst.ask.units
-                    self.refuse(worst)
+                    self.refuse(worst, wait)
         node.held = kept
 
     def send(self, job: Job, node: Node) -> None:
@@ -422,8 +423,11 @@
         most = self.s.budget_free + self.s.budget_share * sum(t > since for t in self.taken)
         return since == self.now or sum(t >= since for t in self.extra) + 1 <= most
 
-    def refuse(self, job: Job) -> None:
-        """Final answer: refused where a retry is known to be harmless, else failed."""
+    def refuse(self, job: Job, wait: float = inf) -> None:
+        """Final answer: refused where a retry is known to be harmless, else failed.
+
+        Given at once, with the wait until there may be room: a client that comes back sooner is in vain.
+        """
         job.waits = False
         if job.out:  # an attempt is still out: its outcome decides
             return
@@ -431,7 +435,8 @@
         harmless = job.kind.repeat is api.Repeat.IDEMPOTENT or not job.ran
         if job.kind.repeat is api.Repeat.DEDUPLICATED and job.kind.group is api.Group.ALL and job.ran:
             harmless = self.now < job.ran[0] + job.kind.repeat_window
-        self.out.append(api.Refuse(job.ask.id) if harmless else api.Fail(job.ask.id))
+        advice = min(max(wait, RETURN * self.aim), self.s.max_retry_after)
+        self.out.append(api.Refuse(job.ask.id, advice) if harmless else api.Fail(job.ask.id))
         self.finish(job)
 
     def finish(self, job: Job) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -10,10 +10,11 @@
 
 import pytest
 
+from sabledyke import interface as api
 from sabledyke import rules
 from sabledyke.interface import Departed, Outcome, TimerFired
 from sabledyke.state import Node
-from tests.helpers import SETTINGS, Rig, node
+from tests.helpers import SETTINGS, Rig, node, of
 
 ROOT = Path(__file__).parent.parent
 
@@ -194,3 +195,16 @@
     lines = (ROOT / "sabledyke" / "rules.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 500
     assert max(map(len, lines)) <= 110
+
+
+def test_a_refusal_is_given_at_once_and_says_when_to_come_back() -> None:
+    rig = Rig(node(1))
+    before = len(rig.log)
+    rid = rig.ask(remaining=5)  # due too soon to be met
+    gone = rig.ask(shard=9, remaining=5)  # and of a shard that no node holds
+    refusals = {a.id: a for a in of(rig.log[before:], api.Refuse)}
+    assert gone in refusals and refusals[gone].retry_after == rig.scheduler.s.max_retry_after
+    assert rid in refusals and rig.scheduler.aim / 4 <= refusals[rid].retry_after <= 500
+    silent = Rig(node(1), max_retry_after=0)
+    silent.ask(shard=9, remaining=5)
+    assert [a.retry_after for a in of(silent.log, api.Refuse)] == [0]
