Cover what changed lines could break unseen: bounds, keep-alive, backlog, departures

Fifteen lines were spoilt by hand, one at a time; eight went unseen: the backlog at the end, a pooled connection whose end has come, the early refusal after a failed store, a departure, surplus attempts, a full NVMe queue, keep-alive, a spent key, the pool's bound. Each has a test now.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -132,3 +132,13 @@
     with pytest.raises(AssertionError, match="without a fault"):
         Bench(fault)
     assert sum(invariants.broken.values()) == 1
+
+
+def test_more_attempts_than_allowed_are_moot() -> None:
+    bench = Bench(lambda now, events: [])
+    rid = bench.ask()
+    for number in range(SETTINGS.max_attempts + 2):
+        bench.core._carry_out(bench.now, api.Send(rid, node(1).node))
+        if number < SETTINGS.max_attempts:
+            bench.core.ended(bench.now, rid, number, Ended(Outcome.REJECTED, False))
+    assert [n for _, n, *_ in bench.started] == list(range(SETTINGS.max_attempts))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -12,6 +13,9 @@
 from sabledyke import interface as api
 from sabledyke import invariants, operator
 from sabledyke.config import Config
+from sabledyke.core import Ended
+from sabledyke.net import streams
+from sabledyke.net.nvmefront import NvmeClient
 from sabledyke.net.server import Server
 from sabledyke.protocol import discovery
 from tests.helpers import HELD, READ, SETTINGS, WRITE
@@ -132,21 +136,25 @@
 
 def test_a_client_that_leaves_calls_its_attempt_off() -> None:
     async def story(rig: Rig) -> None:
-        ended = asyncio.Event()
+        ended, outcomes = asyncio.Event(), []
+        tell = rig.server.core.ended
 
-        async def wait(writer: asyncio.StreamWriter) -> bytes | None:
-            client.close()
-            await client.wait_closed()
-            while rig.server.core.unanswered != 0:
-                await asyncio.sleep(0.01)
+        def note(now: float, rid: int, number: int, end: Ended) -> None:
+            outcomes.append(end.outcome)
             ended.set()
+            tell(now, rid, number, end)
+
+        async def wait(_: object) -> bytes | None:
+            client.close()
+            await ended.wait()
             return None
 
         rig.http.answer = wait
+        rig.server.core.ended = note  # type: ignore[method-assign]
         _, client = await asyncio.open_connection("127.0.0.1", rig.port)
         client.write(GET.format(1, "i", INFO).replace("\n", "\r\n").encode())
         await ended.wait()
-        assert len(rig.http.seen) == 1
+        assert outcomes == [api.Outcome.CANCELLED] and not rig.server.core.unanswered
 
     play(story)
 
@@ -182,7 +190,13 @@
         while not rig.server.fronts[0].leaving:
             await asyncio.sleep(0)
         two = await ask(rig.port, "GET /_health HTTP/1.1\n\n")  # still let in
+        waiting = socket.create_connection(("127.0.0.1", rig.port))  # the machine has accepted it: taken
+        waiting.sendall(b"GET /_health HTTP/1.1\r\n\r\n")
+        rig.server.doors[0].close()
+        rig.server.doors.pop(0)
         assert two[0] == 200 and two[1]["connection"] == "close"
+        assert (await asyncio.to_thread(waiting.recv, 99)).startswith(b"HTTP/1.1 200")
+        waiting.close()
         go.set()
         status, headers, body = await one
         assert (status, headers["connection"], body) == (200, "close", b"late")
@@ -339,6 +353,61 @@
             status, headers, _ = await ask(rig.port, text)
             assert status == 503
         assert float(headers["retry-after"]) > 0 and store.failed and not rig.http.seen
+        assert rig.server.core._ids == 1  # the second was not even taken
         assert (await ask(rig.port, GET.format(1, "i", INFO)))[0] == 200
 
     play(story, str(tmp_path / "record.sqlite3"))
+
+
+def test_a_connection_whose_end_has_come_is_not_used_again() -> None:
+    async def story() -> None:
+        for last in (b"", b"408"):
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            stream = streams.IOStream(ours)
+            assert streams.quiet(stream)
+            theirs.sendall(last)
+            theirs.close()
+            assert not streams.quiet(stream)
+            stream.close()
+            assert not streams.quiet(stream)
+
+    asyncio.run(story())
+
+
+def test_connections_to_boxes_stay_under_their_bound() -> None:
+    async def story(rig: Rig) -> None:
+        rig.server.pool._most = 1
+        for shard in (0, 1, 0, 1):
+            text = PUT.format(1, "i", INFO.replace("shard=0", f"shard={shard}") + "Content-Length: 0\n")
+            assert (await ask(rig.port, text.replace("/1/", f"/{shard + 1}/")))[0] == 200
+            assert rig.server.pool._slots == 1
+
+    play(story)
+
+
+def test_clients_stay_under_their_bound() -> None:
+    async def story(rig: Rig) -> None:
+        front = rig.server.fronts[0]
+        front._most = 1
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        while not front.clients:
+            await asyncio.sleep(0)
+        assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
+        assert await reader.read() == b""  # the idle one made room
+        writer.close()
+
+    play(story)
+
+
+def test_a_host_past_its_keep_alive_time_is_let_go() -> None:
+    async def story(rig: Rig) -> None:
+        host = await rig.host()
+        target = next(c for c in rig.server.fronts[1].clients if isinstance(c, NvmeClient)).target
+        target.keep_alive = 50
+        assert await host.admin(0x18) == 0
+        assert await host.io[0].read() == b""  # its queues go with its controller
+        assert not target.subsystem.controllers
+        host.close()
+
+    play(story)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import os
+import socket
 import subprocess
 import sys
+import urllib.request
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -132,3 +134,21 @@
     assert again.earlier("served") == again.earlier("both") == Sent(now, 1, 0)
     assert again.earlier("never") is again.earlier("old") is None
     again.close()
+
+
+def test_the_program_starts_serves_and_ends_on_sigterm(tmp_path: Path) -> None:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    environment = {**os.environ, **setup(tmp_path), "GW_LISTEN": f"127.0.0.1:{port}"}
+    program = subprocess.Popen(
+        [sys.executable, "-O", "-m", "sabledyke"], cwd=ROOT, env=environment, text=True,
+        stderr=subprocess.PIPE,
+    )  # fmt: skip
+    assert program.stderr is not None
+    assert f"n3 serves at 127.0.0.1:{port}" in program.stderr.readline()
+    with urllib.request.urlopen(f"http://127.0.0.1:{port}/_health", timeout=10) as answer:
+        assert answer.status == 200
+    program.terminate()
+    _, said = program.communicate(timeout=20)
+    assert program.returncode == 0 and said.endswith("invariants broken: none\n")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import orjson
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -163,3 +164,15 @@
     assert translator.from_box(read, nvme.Completion(1, 0), stored).body == body
     done, _ = translator.completion(command, Answer(Verdict.REFUSED, retry_after=250))
     assert (done.status, done.dnr, nvme.RETRY_DELAYS[done.crd - 1]) == (nvme.Status.NOT_READY, False, 300)
+
+
+def test_a_host_with_more_commands_than_its_queue_is_cut_off() -> None:
+    target, _ = answers([session()])
+    assert target.controller is not None
+    target.queue = 1
+    read = nvme.transfer(nvme.Op.READ, 1, 0, 512)
+    for read.cid in range(1, nvme.QUEUE + 1):
+        assert len(target.feed(nvme.pdu(nvme.Pdu.COMMAND, read.pack()))) == 1
+    read.cid = nvme.QUEUE + 1
+    with pytest.raises(nvme.NvmeError, match="more commands"):
+        target.feed(nvme.pdu(nvme.Pdu.COMMAND, read.pack()))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -203,3 +203,16 @@
             rig.wait(50)
         waits.append(rig.now - before)
     assert waits[-1] > 2 * waits[0]
+
+
+def test_a_write_that_a_former_life_sent_runs_only_as_its_key_allows() -> None:
+    keyed = replace(WRITE, repeat=api.Repeat.DEDUPLICATED, group=api.Group.CELL, repeat_window=500)
+    for age, shard, sent in ((100, 1, True), (500, 1, False), (100, 2, False)):
+        rig = Rig(node(1), node(2), classes=(keyed,))
+        ran = rig.now - age, node(1)
+        rig.do(api.Request(1, 0, 0, 0, 2000, 1, 2, shard, 1, False, True, ran))
+        assert (rig.sends(1) > 0) is sent
+        if age == 500:  # nothing can change: it fails at once
+            assert rig.answers(1) == [api.Fail(1)]
+        rig.wait(3000)
+        assert sent or rig.answers(1) == [api.Fail(1)]
