Start quicker: load NVMe and the store only where they are switched on

Tried as a new user: no configuration, a port in use, a store that cannot be opened, a file for other grades; each ends with one line and status 2.

--- a/sabledyke/__main__.py
+++ b/sabledyke/__main__.py
@@ -23,11 +23,12 @@
 
 import os
 import sys
+from typing import TYPE_CHECKING
 
 from sabledyke import config
-from sabledyke.operator import Operator, OperatorError
-from sabledyke.operator import load as load_operator
-from sabledyke.store import StoreError
+
+if TYPE_CHECKING:
+    from sabledyke.operator import Operator
 
 VERSION = "0.1.0"
 
@@ -44,6 +45,12 @@
     asyncio.run(run())
 
 
+def _operator(path: str, settings: config.Config) -> Operator:
+    from sabledyke import operator  # only here, so that a plain start is quick
+
+    return operator.load(path, settings.settings)
+
+
 def main(arguments: list[str]) -> int:
     """Run one command; 0 for success, 2 for a configuration that cannot be used."""
     command, path = "serve", None
@@ -58,8 +65,8 @@
         return 0
     try:
         settings = config.load(os.environ)
-        operator = load_operator(path, settings.settings) if path else None
-    except (config.ConfigError, OperatorError) as fault:
+        operator = _operator(path, settings) if path else None
+    except config.ConfigError as fault:
         print(f"sabledyke: {fault}", file=sys.stderr)
         return 2
     if command == "check-config":
@@ -78,11 +85,16 @@
         return 0
     try:
         serve(settings, operator)
-    except (StoreError, OSError) as fault:  # no file, or an address that cannot be listened at
+    except (config.ConfigError, OSError) as fault:  # no store, or an address that cannot be listened at
         print(f"sabledyke: {fault}", file=sys.stderr)
         return 2
     return 0
 
 
-if __name__ == "__main__":
+def command() -> None:
+    """The installed command."""
     sys.exit(main(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    command()
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -6,6 +6,7 @@
 import gc
 import signal
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from sabledyke import interface as api
 from sabledyke import invariants, log
@@ -16,13 +17,13 @@
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
 from sabledyke.net.pool import Address, Link, Pool
-from sabledyke.net.recorded import Recorded
 from sabledyke.net.watch import Watch
-from sabledyke.operator import Operator
 from sabledyke.protocol.discovery import Listing
 from sabledyke.protocol.gateway import Reader
-from sabledyke.store import KEPT, Store
-from sabledyke.store import name as store_name
+
+if TYPE_CHECKING:  # loaded only where they are switched on: a plain start must be quick
+    from sabledyke.operator import Operator
+    from sabledyke.store import Store
 
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
 SPARE = 64  # descriptors kept for listening, discovery, associations, the log and what Python opens
@@ -34,7 +35,7 @@
     def __init__(
         self, config: Config, operator: Operator | None = None, linger: float = LINGER
     ) -> None:
-        self.config, self.operator, self._linger = config, operator or Operator(), linger
+        self.config, self.operator, self._linger = config, operator, linger
         self._loop = asyncio.get_running_loop()
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -47,27 +48,31 @@
         self.pool = Pool(settings, self._report, half, self._dial)
         transport: Transport = self.pool
         self._store: Store | None = None
-        if self.operator.store:
-            self._store = Store(self.operator.store)
+        if operator is not None and operator.store:
+            from sabledyke.net.recorded import Recorded
+            from sabledyke.store import Store
+
+            self._store = Store(operator.store)
             self._recorded = Recorded(self._store, lambda node: self.core.nodes[node], self._ended)
             self._recorded.inner = self.pool
             transport = self._recorded
         self.core = Core(settings, config.seed, transport, self.watch, self._wake)
         reader = Reader(settings)
-        most = half - (self.operator.connections if self.operator.listen else 0)
+        most = half - (operator.connections if operator is not None and operator.listen else 0)
         self.fronts = [Front("HTTP", most, lambda front, stream: HttpClient(
             front, stream, reader, self._submit, self.core.depart))]  # fmt: skip
-        self._boxes: dict[api.NodeId, str] = dict(self.operator.boxes)
-        if self.operator.listen or self._boxes:
-            self._set_up_nvme()
+        self._boxes: dict[api.NodeId, str] = {}
+        if operator is not None and (operator.listen or operator.boxes):
+            self._set_up_nvme(operator)
         self.doors: list[Door] = []
 
-    def _set_up_nvme(self) -> None:
+    def _set_up_nvme(self, operator: Operator) -> None:
         from sabledyke.net.nvmefront import NvmeClient
         from sabledyke.net.nvmelink import NvmeDialer
         from sabledyke.protocol.blocks import Translator
 
-        operator, settings = self.operator, self.config.settings
+        settings = self.config.settings
+        self._boxes.update(operator.boxes)
         translator = Translator(settings, operator.nqn, operator.volumes)
         self._nvme = NvmeDialer(settings, translator, self._boxes, operator.host_nqn)
         self._closers.append(self._nvme.close)
@@ -91,7 +96,7 @@
             self._forget()
         self._listed(self.config.known or Listing(api.NodeList(api.ListKind.CACHED, 0, ()), {}))
         self._turn()
-        listens = [self.config.listen, self.operator.listen]
+        listens = [self.config.listen, self.operator.listen if self.operator else None]
         for front, listen in zip(self.fronts, listens, strict=False):
             assert listen is not None
             self.doors.append(Door(listen, front.accept))
@@ -137,7 +142,9 @@
     def _submit(self, work: Work, done: Callable[[Answer], None]) -> int:
         """Every front's way to the core; what a former life sent of a keyed write goes along."""
         if self._store is not None:
-            name = store_name(work)
+            from sabledyke import store
+
+            name = store.name(work)
             if name and self._store.failed:
                 advice = self.config.settings.max_retry_after
                 self._loop.call_soon(done, Answer(Verdict.REFUSED, retry_after=advice))
@@ -152,7 +159,7 @@
     def _forget(self) -> None:
         """Once a minute: what was recorded so long ago that nobody repeats it."""
         if self._store is not None and not self._stop.is_set():
-            self._store.forget(clock.now() - KEPT)
+            self._store.forget(clock.now())
             self._loop.call_later(60, self._forget)
 
     def _listed(self, listing: Listing | None) -> None:
--- a/sabledyke/operator.py
+++ b/sabledyke/operator.py
@@ -9,12 +9,13 @@
 from typing import Any
 
 from sabledyke import interface as api
+from sabledyke.config import ConfigError
 from sabledyke.protocol.blocks import MAX_DATA, Volume
 from sabledyke.protocol.discovery import ListError, address
 from sabledyke.protocol.nvme import BLOCK
 
 
-class OperatorError(Exception):
+class OperatorError(ConfigError):
     """The file cannot be used; the text is the one line that says why."""
 
 
--- a/sabledyke/store.py
+++ b/sabledyke/store.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from sabledyke import log
+from sabledyke.config import ConfigError
 from sabledyke.core import Work
 
 KEPT = 3600 * 1000.0  # ms that a write is remembered, far longer than any client repeats it
@@ -34,7 +35,7 @@
     return f"{work.class_}/{work.volume:x}/{work.token}" if work.write and work.token else ""
 
 
-class StoreError(Exception):
+class StoreError(ConfigError):
     """The store cannot be opened; the text is the one line that says why."""
 
 
@@ -84,8 +85,9 @@
             self._sent.pop(name, None)
         self._run("UPDATE writes SET state = ? WHERE name = ?", (state, name), lambda _: None)
 
-    def forget(self, before: float) -> None:
-        """Drop what was sent before a time."""
+    def forget(self, now: float) -> None:
+        """Drop what was sent so long ago that nobody repeats it."""
+        before = now - KEPT
         for name in [n for n, s in self._sent.items() if s.at < before]:
             del self._sent[name]
             self._ran.discard(name)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -18,7 +18,7 @@
 from sabledyke.__main__ import main
 from sabledyke.log import Limiter
 from sabledyke.protocol.discovery import ListError
-from sabledyke.store import Sent, Store
+from sabledyke.store import KEPT, Sent, Store
 from tests.helpers import FREE, READ, SETTINGS, WRITE
 from tests.test_wire import CONF
 
@@ -127,7 +127,7 @@
     store.ended("never", "never")
     store.ended("both", "unknown")
     store.ended("both", "never")  # a later send of it was refused; the first still may have run
-    store.forget(now - 1)
+    store.forget(now + KEPT - 1)
     store.close()
     assert told == [True] * 4
     again = Store(path)
