Let no half-asked request hold up the end or a place among the clients

Found by reading, then shown by a test: finish() waited for every connection that was not idle, so a client that stops halfway in a request kept the program until SIGKILL, and one that never reads its answer did too; both now have a bound. At the bound on connections such a client makes room as well. Queues of an NVMe box are numbered and opened under one lock, so that two at once cannot get the same number. Log lines name boxes by their names instead of hex.

--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -11,6 +11,11 @@
 NodeId = bytes
 
 
+def name_of(node: NodeId) -> str:
+    """A node as the log names it: its text where it is one, else in hex."""
+    return node.decode() if node.isascii() and node.decode().isprintable() else node.hex()
+
+
 class Repeat(Enum):
     """May a request of a class run more than once?"""
 
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -27,6 +27,11 @@
     def idle(self) -> bool:
         """Nothing is asked, half asked or being answered."""
 
+    @property
+    @abstractmethod
+    def owed(self) -> bool:
+        """Something is taken and not answered to its last byte."""
+
     @abstractmethod
     async def serve(self) -> None:
         """Read until the client has had enough."""
@@ -57,13 +62,14 @@
         Guards against clients that together hold more descriptors than the machine gives.
         """
         if len(self.clients) >= self._most:
-            idle = next((c for c in self.clients if c.idle and streams.quiet(c.stream)), None)
-            which = "an idle one" if idle else "a new one"
+            spare = next((c for c in self.clients if c.idle and streams.quiet(c.stream)), None)
+            spare = spare or next((c for c in self.clients if not c.owed), None)  # half asked, for longest
+            which = "an idle one" if spare else "a new one"
             log.say("front", f"{len(self.clients)} {self._name} clients: {which} is closed")
-            if idle is None:
+            if spare is None:
                 sock.close()
                 return
-            idle.close()
+            spare.close()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = self._make(self, streams.IOStream(sock, read_chunk_size=streams.READ))
         client.ended = lambda: self._forget(client)
@@ -75,16 +81,16 @@
         if client in self.clients:
             self.clients.move_to_end(client)
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is asked or half asked."""
+    def close_idle(self, *, half_asked: bool = False) -> None:
+        """Close the connections on which nothing is asked; also those on which something is half asked."""
         for client in list(self.clients):
-            if client.idle and streams.quiet(client.stream):
+            if client.idle and streams.quiet(client.stream) or half_asked and not client.owed:
                 client.close()
 
-    @property
-    def busy(self) -> int:
-        """Connections on which something is asked or being answered."""
-        return sum(not c.idle for c in self.clients)
+    def close(self) -> None:
+        """Close all connections."""
+        for client in list(self.clients):
+            client.close()
 
     def _forget(self, client: Client) -> None:
         self.clients.pop(client, None)
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -30,7 +30,12 @@
     @property
     def idle(self) -> bool:
         """See ``Client``."""
-        return self._rid is None and not self._writing and self._parser.idle
+        return not self.owed and self._parser.idle
+
+    @property
+    def owed(self) -> bool:
+        """See ``Client``."""
+        return self._rid is not None or self._writing
 
     def departed(self) -> None:
         """See ``Client``."""
--- a/sabledyke/net/nvmefront.py
+++ b/sabledyke/net/nvmefront.py
@@ -30,7 +30,12 @@
     @property
     def idle(self) -> bool:
         """See ``Client``."""
-        return not self._rids and not self._flushing and self.target.idle
+        return not self.owed and self.target.idle
+
+    @property
+    def owed(self) -> bool:
+        """See ``Client``."""
+        return bool(self._rids or self._flushing)
 
     def departed(self) -> None:
         """See ``Client``; a controller ends with its admin queue, and takes its other queues along."""
--- a/sabledyke/net/nvmelink.py
+++ b/sabledyke/net/nvmelink.py
@@ -120,8 +120,8 @@
             if self._admin is None or self._admin.stream.closed():
                 await self._associate(timeout)
             number = self._number()
-        channel = _Channel(await streams.connect(self.address, timeout))
-        self._queues[number] = channel.stream
+            channel = _Channel(await streams.connect(self.address, timeout))
+            self._queues[number] = channel.stream
         try:
             await channel.must(*connect(self._nqn, number, self._cntlid, self._host, 0))
         except BaseException:
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -114,7 +114,7 @@
             ended = await slot.link.exchange(flight.work, timeout)
         except (streams.StreamClosedError, BadPeer, OSError) as fault:
             if isinstance(fault, BadPeer):
-                log.say("box", f"{flight.node.decode(errors='replace')} is not understood: {fault}")
+                log.say("box", f"{api.name_of(flight.node)} is not understood: {fault}")
             ran = flight.may_have_run
             self._end(flight, Ended(Outcome.RESET if ran else Outcome.NO_CONNECTION, ran))
             return
@@ -128,7 +128,7 @@
         if self._slots >= self._most:
             self._make_room()
         if address is None or self._slots >= self._most:
-            log.say("pool", f"no connection to spare for {node.decode(errors='replace')}")
+            log.say("pool", f"no connection to spare for {api.name_of(node)}")
             raise streams.StreamClosedError
         self._slots += 1
         try:
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -26,6 +26,7 @@
     from sabledyke.store import Store
 
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
+HALF_ASKED = 1.0  # seconds after that for what is half asked to come in whole
 SPARE = 64  # descriptors kept for listening, discovery, associations, the log and what Python opens
 
 
@@ -117,11 +118,14 @@
             self.doors.pop().close()
         for front in self.fronts:
             front.closing = True
-        while True:
+        began, longest = self._loop.time(), max(c.deadline for c in self.config.settings.classes) / 1000
+        while any(front.clients for front in self.fronts):
+            waited = self._loop.time() - began
             for front in self.fronts:
-                front.close_idle()
-            if not any(front.busy for front in self.fronts):
-                break
+                # Guards against clients that never finish asking, and against those that never read.
+                front.close_idle(half_asked=waited > HALF_ASKED)
+                if waited > longest + HALF_ASKED and not self.core.unanswered:
+                    front.close()
             await asyncio.sleep(0.01)
         self.watch.watch(False)
         self.pool.close()
--- a/sabledyke/net/watch.py
+++ b/sabledyke/net/watch.py
@@ -87,5 +87,6 @@
         self._report(listing)
 
     def _failed(self, fault: Exception) -> None:
-        log.say("discovery", f"a call failed: {fault or type(fault).__name__}")
+        reason = getattr(fault, "real_error", None) or fault  # what closed the stream says more
+        log.say("discovery", f"a call failed: {str(reason) or type(reason).__name__}")
         self._report(None)
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -336,7 +336,8 @@
     def hear(self, node: Node) -> None:
         node.heard, node.tries = self.now, 0
         if node.dark < inf:
-            self.out.append(api.Log(f"node {node.entry.node.hex()} back after {self.now - node.dark:.0f} ms"))
+            name = api.name_of(node.entry.node)
+            self.out.append(api.Log(f"node {name} back after {self.now - node.dark:.0f} ms"))
             node.dark = inf
 
     def darken(self, node: Node) -> None:
@@ -344,7 +345,8 @@
             node.dark, node.tries, node.trial = self.now, 1, self.now + self.silence
             self.limbo += [j for j in node.held if j.ask.shard < 0]  # what may go anywhere moves
             node.held = [j for j in node.held if j.ask.shard >= 0]
-            self.out.append(api.Log(f"node {node.entry.node.hex()} silent, {len(node.flying)} attempts out"))
+            name = api.name_of(node.entry.node)
+            self.out.append(api.Log(f"node {name} silent, {len(node.flying)} attempts out"))
 
     def answered(self, got: api.Attempted) -> None:
         job = self.jobs.get(got.id)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -390,12 +390,16 @@
     async def story(rig: Rig) -> None:
         front = rig.server.fronts[0]
         front._most = 1
-        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
-        while not front.clients:
-            await asyncio.sleep(0)
-        assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
-        assert await reader.read() == b""  # the idle one made room
-        writer.close()
+        for said in (b"", b"GET /half"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+            writer.write(said)
+            while not front.clients or bool(said) is next(iter(front.clients)).idle:
+                await asyncio.sleep(0)
+            assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
+            assert await reader.read() == b""  # the one that was owed nothing made room
+            writer.close()
+            while front.clients:
+                await asyncio.sleep(0)
 
     play(story)
 
@@ -411,3 +415,17 @@
         host.close()
 
     play(story)
+
+
+def test_a_client_that_never_finishes_asking_does_not_hold_up_the_end() -> None:
+    async def story(rig: Rig) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(b"GET /half")
+        while all(c.idle for c in rig.server.fronts[0].clients):
+            await asyncio.sleep(0)
+        rig.server.leave()
+        await rig.server.finish()
+        assert await reader.read() == b""
+        writer.close()
+
+    play(story)
