--- a/tests/standins.py
+++ b/tests/standins.py
@@ -135,6 +135,7 @@
         self.begun = 0  # writes whose data it asked for
         self.mercy, self.deadly = 1 << 40, True  # what it does then: die, or only drop the connection
         self.status = 0
+        self.stalled = False  # takes reads and writes and says nothing
         self.keys: set[int] = set()
 
     async def talk(self, reader: Reader, writer: Writer) -> None:
@@ -152,6 +153,7 @@
             elif words[0] == 7 and opcode == 0x09:
                 result = 0x00030003
             elif opcode in (1, 2):
+                await asyncio.sleep(3600 * self.stalled)
                 status = self.status or await self._io(reader, writer, opcode, cid, nsid, key, words)
             writer.write(pdu(5, struct.pack("<QHHHH", result, 0, 0, cid, status << 1)))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -263,6 +263,18 @@
     play(story)
 
 
+def test_a_silent_nvme_box_costs_a_host_no_more_than_its_deadline() -> None:
+    async def story(rig: Rig) -> None:
+        rig.nvme.stalled = True
+        host = await rig.host()
+        for status in (await host.write(2, 0, bytes(512)), (await host.read(2, 0, 1))[0]):
+            assert status & 0x7FF in (0x82, 0x06)  # an answer, though the box gave none
+        assert not rig.server.core.unanswered
+        host.close()
+
+    play(story)
+
+
 @pytest.mark.parametrize("deadly", [True, False])
 def test_a_write_cut_off_mid_transfer_is_not_sent_beyond_its_key(deadly: bool) -> None:
     """A box breaks off with part of the data: the write may have begun, only its cell may see it again."""
