Take on a new configuration on SIGHUP instead of ending

Now the file is read again (what changed in it wins over the environment, which still names the old discovery), checked whole, and handed to every part that holds settings; the watch leaves the old address at once, since waiting for it to break would use up 1.5 of the 4 s in which news counts as told.

--- a/sabledyke/__main__.py
+++ b/sabledyke/__main__.py
@@ -40,7 +40,7 @@
     from sabledyke.net.server import Server
 
     async def run() -> None:
-        await Server(settings, operator).run()
+        await Server(settings, operator, reread=lambda old: config.load(os.environ, old)).run()
 
     asyncio.run(run())
 
--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -31,10 +31,16 @@
     sockets: int
     known: Listing | None
     settings: api.Settings
+    file: Mapping[str, object] = field(default_factory=dict)  # name and addresses, as the file has them ...
+    words: Mapping[str, str] = field(default_factory=dict)  # ... and as they are in force
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """The configuration the environment points to; its variables win over the file."""
+def load(environ: Mapping[str, str], before: Config | None = None) -> Config:
+    """The configuration the environment points to; its variables win over the file.
+
+    Read again with ``before`` in force, what changed in the file since then wins: the environment cannot
+    change under a running program, and would hide a new address for good.
+    """
     path = environ.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is not set: it names the JSON file with the settings")
@@ -47,14 +53,18 @@
     if not isinstance(data, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return _config(data, environ)
-    except (SettingsError, ListError, ConfigError, ValueError) as fault:
+        return _config(data, environ, before)
+    except (SettingsError, ListError, ConfigError, ValueError, OverflowError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
 
 
-def _config(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+def _config(data: dict[str, Any], environ: Mapping[str, str], before: Config | None) -> Config:
     def said(name: str) -> str:
-        text = environ.get(PREFIX + name.upper()) or data.get(name)
+        text = data.get(name)
+        if before is None:
+            text = environ.get(PREFIX + name.upper()) or text
+        elif text == before.file[name]:
+            text = before.words[name]
         if not isinstance(text, str) or not text:
             raise ConfigError(f"{name} is missing: set {PREFIX}{name.upper()} or say it in the file")
         return text
@@ -70,12 +80,15 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if not isinstance(sockets, int) or sockets < 64:
         raise ConfigError(f"limits.sockets must be a whole number from 64 up, not {sockets!r}")
+    words = {name: said(name) for name in ("name", "listen", "discovery")}
     return Config(
-        name=said("name"),
-        listen=address(said("listen")),
-        discovery=address(said("discovery")),
+        name=words["name"],
+        listen=address(words["listen"]),
+        discovery=address(words["discovery"]),
         seed=seed,
         sockets=sockets,
         known=None if known is None else read(known, settings, cached=True),
         settings=settings,
+        file={name: data.get(name) for name in words},
+        words=words,
     )
--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -134,6 +134,11 @@
         """Requests that are still owed an answer."""
         return sum(not r.answered for r in self._open.values())
 
+    def adopt(self, settings: api.Settings) -> None:
+        """Go by new settings from now on; what was taken stays, under the deadlines it came with."""
+        self.settings = settings
+        self.scheduler.adopt(settings)
+
     def submit(self, now: float, work: Work, done: Callable[[Answer], None]) -> int:
         """Take a request; ``done`` is called once, and never from inside this call."""
         self._ids += 1
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -51,7 +51,7 @@
     """All connections of clients that speak one protocol."""
 
     def __init__(self, name: str, most: int, make: Callable[[Front, streams.IOStream], Client]) -> None:
-        self._name, self._most, self._make = name, most, make
+        self._name, self.most, self._make = name, most, make
         self.leaving = False  # the program ends: answers say so, and connections end with them
         self.closing = False  # nobody new is let in any more
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one used last is last
@@ -61,7 +61,7 @@
 
         Guards against clients that together hold more descriptors than the machine gives.
         """
-        if len(self.clients) >= self._most:
+        if len(self.clients) >= self.most:
             spare = next((c for c in self.clients if c.idle and streams.quiet(c.stream)), None)
             spare = spare or next((c for c in self.clients if not c.owed), None)  # half asked, for longest
             which = "an idle one" if spare else "a new one"
--- a/sabledyke/net/httplink.py
+++ b/sabledyke/net/httplink.py
@@ -57,10 +57,10 @@
 class HttpDialer:
     """Opens such connections."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self._settings, self._reader = settings, Reader(settings)
+    def __init__(self, settings: api.Settings, reader: Reader) -> None:
+        self.settings, self._reader = settings, reader
 
     async def dial(self, node: api.NodeId, address: Address) -> HttpLink:
         """See ``pool.Dial``."""
-        stream = await streams.connect(address, self._settings.connect_timeout)
+        stream = await streams.connect(address, self.settings.connect_timeout)
         return HttpLink(f"{address[0]}:{address[1]}", stream, self._reader)
--- a/sabledyke/net/nvmelink.py
+++ b/sabledyke/net/nvmelink.py
@@ -180,7 +180,7 @@
     def __init__(
         self, settings: api.Settings, translator: Translator, boxes: dict[api.NodeId, str], host_nqn: str
     ) -> None:
-        self._settings, self._translator, self._boxes = settings, translator, boxes
+        self.settings, self._translator, self._boxes = settings, translator, boxes
         self._host = uuid.uuid4().bytes, host_nqn
         self._associations: dict[api.NodeId, _Association] = {}
 
@@ -191,8 +191,8 @@
             if known is not None:
                 known.close()
             known = self._associations[node] = _Association(address, self._boxes[node], self._host)
-        async with asyncio.timeout(self._settings.connect_timeout / 1000):
-            channel = await known.queue(self._settings.connect_timeout)
+        async with asyncio.timeout(self.settings.connect_timeout / 1000):
+            channel = await known.queue(self.settings.connect_timeout)
         return NvmeLink(channel, self._translator)
 
     def close(self) -> None:
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -67,7 +67,7 @@
     """The core's transport: keeps at most ``most`` connections and opens them with ``dial``."""
 
     def __init__(self, settings: api.Settings, report: Report, most: int, dial: Dial) -> None:
-        self._settings, self._report, self._most, self._dial = settings, report, most, dial
+        self.settings, self._report, self.most, self._dial = settings, report, most, dial
         self._addresses: dict[api.NodeId, Address] = {}
         self._idle: dict[api.NodeId, list[_Slot]] = {}
         self._flights: dict[tuple[int, int], _Flight] = {}
@@ -125,9 +125,9 @@
 
     async def _open(self, node: api.NodeId) -> _Slot:
         address = self._addresses.get(node)
-        if self._slots >= self._most:
+        if self._slots >= self.most:
             self._make_room()
-        if address is None or self._slots >= self._most:
+        if address is None or self._slots >= self.most:
             log.say("pool", f"no connection to spare for {api.name_of(node)}")
             raise streams.StreamClosedError
         self._slots += 1
@@ -157,7 +157,7 @@
             self._discard(slot)
             return
         self._idle.setdefault(slot.node, []).append(slot)
-        after = self._settings.idle_timeout * IDLE_PART / 1000
+        after = self.settings.idle_timeout * IDLE_PART / 1000
         slot.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, slot)
         slot.link.stream.set_close_callback(lambda: self._drop_idle(slot))
 
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -10,7 +10,7 @@
 
 from sabledyke import interface as api
 from sabledyke import invariants, log
-from sabledyke.config import Config
+from sabledyke.config import Config, ConfigError
 from sabledyke.core import Answer, Core, Ended, Transport, Verdict, Work
 from sabledyke.net import clock
 from sabledyke.net.front import Door, Front
@@ -22,6 +22,7 @@
 from sabledyke.protocol.gateway import Reader
 
 if TYPE_CHECKING:  # loaded only where they are switched on: a plain start must be quick
+    from sabledyke.net.nvmelink import NvmeDialer
     from sabledyke.operator import Operator
     from sabledyke.store import Store
 
@@ -34,19 +35,21 @@
     """One scheduler."""
 
     def __init__(
-        self, config: Config, operator: Operator | None = None, linger: float = LINGER
-    ) -> None:
-        self.config, self.operator, self._linger = config, operator, linger
+        self, config: Config, operator: Operator | None = None, linger: float = LINGER,
+        reread: Callable[[Config], Config] = lambda config: config,
+    ) -> None:  # fmt: skip
+        self.config, self.operator, self._linger, self._reread = config, operator, linger, reread
         self._loop = asyncio.get_running_loop()
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._stop = asyncio.Event()
         self._closers: list[Callable[[], None]] = []
         settings, known = config.settings, config.known
-        half = (config.sockets - SPARE) // 2
         self.watch = Watch(config.discovery, settings, known.news.version if known else None, self._listed)
-        self._http = HttpDialer(settings)
-        self.pool = Pool(settings, self._report, half, self._dial)
+        self._reader = Reader(settings)
+        self._http = HttpDialer(settings, self._reader)
+        self._nvme: NvmeDialer | None = None
+        self.pool = Pool(settings, self._report, 0, self._dial)
         transport: Transport = self.pool
         self._store: Store | None = None
         if operator is not None and operator.store:
@@ -58,13 +61,12 @@
             self._recorded.inner = self.pool
             transport = self._recorded
         self.core = Core(settings, config.seed, transport, self.watch, self._wake)
-        reader = Reader(settings)
-        most = half - (operator.connections if operator is not None and operator.listen else 0)
-        self.fronts = [Front("HTTP", most, lambda front, stream: HttpClient(
-            front, stream, reader, self._submit, self.core.depart))]  # fmt: skip
+        self.fronts = [Front("HTTP", 0, lambda front, stream: HttpClient(
+            front, stream, self._reader, self._submit, self.core.depart))]  # fmt: skip
         self._boxes: dict[api.NodeId, str] = {}
         if operator is not None and (operator.listen or operator.boxes):
             self._set_up_nvme(operator)
+        self._share_out(config.sockets)
         self.doors: list[Door] = []
 
     def _set_up_nvme(self, operator: Operator) -> None:
@@ -75,14 +77,22 @@
         settings = self.config.settings
         self._boxes.update(operator.boxes)
         translator = Translator(settings, operator.nqn, operator.volumes)
+        self._translator = translator
         self._nvme = NvmeDialer(settings, translator, self._boxes, operator.host_nqn)
         self._closers.append(self._nvme.close)
         if operator.listen:
             self.fronts.append(Front("NVMe", operator.connections, lambda front, stream: NvmeClient(
                 front, stream, translator, self._submit, self.core.depart)))  # fmt: skip
 
+    def _share_out(self, sockets: int) -> None:
+        """Bound the connections of clients and to boxes so that all descriptors stay under their limit."""
+        half = (sockets - SPARE) // 2
+        nvme = self.operator.connections if self.operator is not None and self.operator.listen else 0
+        self.pool.most, self.fronts[0].most = half, half - nvme
+
     async def run(self) -> None:
-        """Serve until SIGTERM, then finish what was taken."""
+        """Serve until SIGTERM, then finish what was taken; SIGHUP has the configuration read again."""
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.leave)
         self.start()
@@ -103,6 +113,32 @@
             self.doors.append(Door(listen, front.accept))
             log.say("start", f"{self.config.name} serves at {listen[0]}:{self.doors[-1].port}")
 
+    def reload(self) -> None:
+        """Take on a new configuration, or none of it; what was taken and learnt stays.
+
+        Guards against ending on SIGHUP with all that was taken, and against half a configuration.
+        """
+        try:
+            new = self._reread(self.config)
+            _check_like(self.config.settings, new.settings)
+            if new.listen != self.config.listen and self.doors:
+                door = Door(new.listen, self.fronts[0].accept)
+                self.doors[0].close()
+                self.doors[0] = door
+        except (ConfigError, OSError) as fault:
+            log.say("reload", f"the new configuration is not used: {fault}")
+            return
+        self.config = new
+        self.core.adopt(new.settings)
+        self._reader.adopt(new.settings)
+        self._http.settings = self.pool.settings = new.settings
+        if self._nvme is not None:
+            self._nvme.settings = self._translator.settings = new.settings
+        self._share_out(new.sockets)
+        self.watch.adopt(new.discovery, new.settings)
+        where = f"discovery at {new.discovery[0]}:{new.discovery[1]}"
+        log.say("reload", f"the new configuration is in force; {where}, {new.sockets} descriptors")
+
     def leave(self) -> None:
         """Begin to end."""
         if not self._stop.is_set():
@@ -139,7 +175,7 @@
         log.say("stop", f"{self.config.name} has answered all it took; invariants broken: {broken}")
 
     async def _dial(self, node: api.NodeId, address: Address) -> Link:
-        if node in self._boxes:
+        if self._nvme is not None and node in self._boxes:
             return await self._nvme.dial(node, address)
         return await self._http.dial(node, address)
 
@@ -196,3 +232,11 @@
             self._timer.cancel()
         due = self.core.due()
         self._timer = None if due is None else self._loop.call_later(max(0.0, due - now) / 1000, self._turn)
+
+
+def _check_like(old: api.Settings, new: api.Settings) -> None:
+    """What open requests and the module's knowledge are counted by must keep its names and places."""
+    for what in ("classes", "plans", "zones", "kinds"):
+        names = [[getattr(x, "name", x) for x in getattr(s, what)] for s in (old, new)]
+        if names[0] != names[1]:
+            raise ConfigError(f"the names of its {what} differ, which takes a restart")
--- a/sabledyke/net/watch.py
+++ b/sabledyke/net/watch.py
@@ -26,10 +26,24 @@
         self._since = since
         self._task: asyncio.Task[None] | None = None
         self._single: set[asyncio.Task[None]] = set()
-        self._stream: streams.IOStream | None = None
+        self._wanted = False
+
+    def adopt(self, address: tuple[str, int], settings: api.Settings) -> None:
+        """Go by new settings; watch at a new address from now on, beginning with the whole list.
+
+        Guards against waiting for the old address to break: what discovery tells counts as told by then. A
+        list of another service may be numbered otherwise, so changes since the old one's mean nothing there.
+        """
+        self._settings = settings
+        if address != self._address:
+            self._address, self._since = address, None
+            if self._wanted:
+                self.watch(False)
+                self.watch(True)
 
     def watch(self, on: bool) -> None:
         """See ``core.Lists``."""
+        self._wanted = on
         if on and self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._watch())
         elif not on and self._task is not None:
--- a/sabledyke/protocol/blocks.py
+++ b/sabledyke/protocol/blocks.py
@@ -54,7 +54,7 @@
     """Between the core and both sides of NVMe, under an operator's file."""
 
     def __init__(self, settings: api.Settings, nqn: str, volumes: tuple[Volume, ...]) -> None:
-        self._settings = settings
+        self.settings = settings
         self._spaces = {v.namespace: v for v in volumes}
         self._volumes = {v.volume: v for v in volumes}
         spaces = {v.namespace: Namespace(v.blocks, v.stripe_blocks) for v in volumes}
@@ -67,7 +67,7 @@
         token = (f"{command.cdw2:016x}" if command.cdw2 else secrets.token_hex(8)) if write else ""
         return Work(
             class_=v.write_class if write else v.read_class, plan=v.plan, volume=v.volume, key=command.slba,
-            units=max(1.0, min(self._settings.most_units, -(-size // v.unit_bytes))),
+            units=max(1.0, min(self.settings.most_units, -(-size // v.unit_bytes))),
             shard=v.stripe[command.slba // v.stripe_blocks % len(v.stripe)], hosts=v.hosts,
             remaining=v.write_deadline if write else v.read_deadline, repeated=False, write=write,
             ident=secrets.token_hex(8), token=token, body=data, length=0 if write else size,
--- a/sabledyke/protocol/gateway.py
+++ b/sabledyke/protocol/gateway.py
@@ -20,6 +20,10 @@
     """Reads messages under one deployment's settings."""
 
     def __init__(self, settings: api.Settings) -> None:
+        self.adopt(settings)
+
+    def adopt(self, settings: api.Settings) -> None:
+        """Read under these settings from now on."""
         self._settings = settings
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
         self._plans = {p.name: i for i, p in enumerate(settings.plans)}
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -42,13 +42,22 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__()
         self.s, self.random = settings, random.Random(seed)
+        self.longest = [0.0] * len(settings.classes)  # the longest time a client gave a try, by class
+        self.watch_wait = WATCH_AGAIN[0]
+        self.adopt(settings)
+
+    def adopt(self, settings: api.Settings) -> None:
+        """Go by these settings, whose classes and plans keep their places; what was learnt stays."""
+        for volume in self.volumes.values():
+            volume.plan = settings.plans[self.s.plans.index(volume.plan)]
+        self.s = settings
         self.mean = settings.mean_units
         self.period = max(PERIOD, HOST_PERIOD * settings.hosts)
         self.aim = min(c.aim for c in settings.classes)
         self.silence = SILENCE * self.aim
         self.best = max(c.worth for c in settings.classes) * max(p.worth_factor for p in settings.plans)
-        self.longest = [0.0] * len(settings.classes)  # the longest time a client gave a try, by class
-        self.watch_wait = WATCH_AGAIN[0]
+        for node in self.nodes.values():  # periods are counted in their own length
+            node.period = int(self.now // self.period)
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
         if now < self.now:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -65,11 +67,15 @@
         extras = replace(operator.read(text, DEPLOYMENT), listen=("127.0.0.1", 0))
         known = discovery.read(self.discovery.listing(), DEPLOYMENT, cached=True)
         here = ("127.0.0.1", self.discovery.port)
-        self.server = Server(Config("n0", ("127.0.0.1", 0), here, 1, 256, known, DEPLOYMENT), extras, 0.1)
+        self.config = Config("n0", ("127.0.0.1", 0), here, 1, 256, known, DEPLOYMENT)
+        self.server = Server(self.config, extras, 0.1, self.reread)
         self.server.start()
         self.port, self.nvme_port = (door.port for door in self.server.doors)
         return self
 
+    def reread(self, _: Config) -> Config:
+        return self.config
+
     async def host(self) -> NvmeHost:
         host = NvmeHost(self.nvme_port, "nqn.2026-12.example:front")
         await host.open()
@@ -389,7 +395,7 @@
 
 def test_connections_to_boxes_stay_under_their_bound() -> None:
     async def story(rig: Rig) -> None:
-        rig.server.pool._most = 1
+        rig.server.pool.most = 1
         for shard in (0, 1, 0, 1):
             text = PUT.format(1, "i", INFO.replace("shard=0", f"shard={shard}") + "Content-Length: 0\n")
             assert (await ask(rig.port, text.replace("/1/", f"/{shard + 1}/")))[0] == 200
@@ -401,7 +407,7 @@
 def test_clients_stay_under_their_bound() -> None:
     async def story(rig: Rig) -> None:
         front = rig.server.fronts[0]
-        front._most = 1
+        front.most = 1
         for said in (b"", b"GET /half"):
             reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
             writer.write(said)
@@ -441,3 +447,48 @@
         writer.close()
 
     play(story)
+
+
+def test_sighup_takes_on_a_whole_configuration_or_none_of_it(capfd: pytest.CaptureFixture[str]) -> None:
+    """A request in work lives through both; discovery is watched at its new address at once."""
+
+    async def story(rig: Rig) -> None:
+        asked, go = asyncio.Event(), asyncio.Event()
+
+        async def slowly(_: object) -> bytes | None:
+            asked.set()
+            await go.wait()
+            return http(200, b"late")
+
+        async def reloaded(line: str) -> None:
+            os.kill(os.getpid(), signal.SIGHUP)
+            while line not in capfd.readouterr().err:
+                await asyncio.sleep(0.001)
+
+        run = asyncio.create_task(rig.server.run())
+        rig.http.answer = slowly
+        one = asyncio.create_task(ask(rig.port, GET.format(1, "i", INFO)))
+        await asked.wait()
+        old, new = rig.config, Discovery()
+        await new.open()
+        new.add("plain", rig.http.port, 0)
+        renamed = replace(DEPLOYMENT, plans=DEPLOYMENT.plans[::-1])
+        rig.config = replace(old, settings=renamed, discovery=("127.0.0.1", new.port))
+        await reloaded("is not used: the names of its plans differ")
+        assert rig.server.core.settings is DEPLOYMENT and not new.calls
+        settings = replace(DEPLOYMENT, mean_units=3, plans=(replace(DEPLOYMENT.plans[0], weight=9), HELD))
+        rig.config = replace(old, settings=settings, discovery=("127.0.0.1", new.port), sockets=128)
+        await reloaded("the new configuration is in force")
+        while len(new.calls) < 2:
+            await asyncio.sleep(0.001)
+        assert new.calls[0] == "GET /catalog/members HTTP/1.1" and "since=1" in new.calls[1]
+        scheduler = rig.server.core.scheduler
+        assert scheduler.mean == 3 and next(iter(scheduler.volumes.values())).plan.weight == 9
+        assert b"plain" in scheduler.nodes and rig.server.pool.most == 32
+        go.set()
+        assert (await one)[::2] == (200, b"late")
+        os.kill(os.getpid(), signal.SIGTERM)
+        await run
+        new.die()
+
+    play(story)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -64,6 +64,15 @@
     assert got.seed == 0x8C1F and got.known is not None and got.known.news.version == 41
 
 
+def test_read_again_what_changed_in_the_file_wins(tmp_path: Path) -> None:
+    environ = setup(tmp_path) | {"GW_DISCOVERY": "127.0.0.1:8600"}
+    got = config.load(environ)
+    for port in (8600, 8700, 8700):  # unchanged the environment's, then the file's new one, also for good
+        setup(tmp_path, discovery=f"127.0.0.1:{8500 if port == 8600 else port}")
+        got = config.load(environ, got)
+        assert (got.discovery[1], got.listen[1]) == (port, 9090)
+
+
 @pytest.mark.parametrize(("changes", "says"), [
     ({"listen": 5, "discovery": None}, "discovery"), ({"settings": {}}, "setting me"),
     ({"seed": "x"}, "seed"), ({"limits": {"sockets": 3}}, "limits.sockets"), ({"known": []}, "list"),
