Count budgets over four thirds of the shortest aim instead of a fixed second

A trace of refusals (reason, box, budget, window) showed rules.drain() refusing 'win=17.7 infl=0.0 bud=36.7 used=36.0': the budget alone. Refusals in place() and of retries past their aim followed from the first refusals. Ruled out: windows (never full), young boxes (warmth 1), strain (none).

--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -16,7 +16,7 @@
 from sabledyke.interface import Outcome
 from sabledyke.state import Job, Node, Pace, Records, Volume
 
-PERIOD, HOST_PERIOD = 1000.0, 20.0  # ms: a period at least, and for each host: all floors must fit a node
+PERIOD, HOST_PERIOD = 4 / 3, 2 / 75  # shortest aims: a period at least, and for each host: floors must fit it
 LOOKBACK, TAU = 30000.0, 1.0  # the admission test: ms it looks back, as long as history lasts; safety margin
 IDLE = 5  # periods without a request that close a volume's session at a node
 FLOOR, START, CEILING = 4, 16, 32  # a period's budget, in mean requests: bounds, and before any news
@@ -52,8 +52,10 @@
             volume.plan = settings.plans[self.s.plans.index(volume.plan)]
         self.s = settings
         self.mean = settings.mean_units
-        self.period = max(PERIOD, HOST_PERIOD * settings.hosts)
         self.aim = min(c.aim for c in settings.classes)
+        # Budgets are in requests a period: counted in fixed seconds, they would starve a deployment whose
+        # requests are many and small, and let too much through where they are few and large.
+        self.period = max(PERIOD, HOST_PERIOD * settings.hosts) * self.aim
         self.silence = SILENCE * self.aim
         self.best = max(c.worth for c in settings.classes) * max(p.worth_factor for p in settings.plans)
         for node in self.nodes.values():  # periods are counted in their own length
@@ -145,7 +147,7 @@
             return True
         safe = self.s.cold_units * warmth / self.s.cold_share
         sent = sum(u for at, u in node.sends if at >= self.now - self.s.fall_window)
-        asked = len(self.taken) * self.mean / min(LOOKBACK, self.now - self.born + PERIOD)
+        asked = len(self.taken) * self.mean / min(LOOKBACK, self.now - self.born + self.period)
         expected = asked * self.s.fall_window * self.s.hosts / len(self.ready[-1])
         part, chance = safe / self.s.hosts, min(warmth, LUCK * safe / expected)
         return sent + job.ask.units <= part or sent < part and job.luck < chance
@@ -245,7 +247,7 @@
         node.recent.append(node.served)
         node.sessions = {v: t for v, t in node.sessions.items() if self.now - t < LOOKBACK}
         node.loads.append(node.asked / node.budget / max(1, len(self.admitted(node))))
-        node.loads.extend([0.0] * min(passed - 1, int(LOOKBACK / PERIOD)))
+        node.loads.extend([0.0] * min(passed - 1, int(LOOKBACK / self.period)))
         if filled and node.answers:
             node.budget = max(node.recent) if past_aim else max(node.budget + self.mean, max(node.recent))
         node.budget = min(max(node.budget, FLOOR * self.mean), CEILING * self.mean)
