Let go of clients that rest, stay silent or stop halfway

Both fronts now bound the time to ask (2.25 s, also for each half request, 408), to take in an answer, and to rest (10 s, 2 s once a quarter of the places is taken); the silent make room first. An NVMe host that is connected stays under its keep-alive time.

--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -13,6 +13,12 @@
 from sabledyke.net import streams
 
 Submit = Callable[[Work, Callable[[Answer], None]], int]
+SWEEP = 0.25  # seconds between looks at who keeps a connection without asking
+ASKING = 2.25  # seconds for the first request after connecting, and for each that has begun
+READING = 2.25  # seconds for a client to take in an answer
+IDLE, CROWDED = 10.0, 2.0  # seconds that a connection may rest between requests, and once others need places
+ROOMY = 0.25  # part of the places up to which no one is needed
+YOUNG = 0.25  # seconds in which a new connection is spared where room must be made
 
 
 class Client(ABC):
@@ -20,6 +26,8 @@
 
     def __init__(self, stream: streams.IOStream) -> None:
         self.stream = stream
+        self.fresh = True  # nothing whole was asked yet
+        self.since = asyncio.get_running_loop().time()  # it connected, began to ask, or took its last answer
         self.ended: Callable[[], None] = lambda: None  # what its front does when it ends
 
     @property
@@ -32,6 +40,14 @@
     def owed(self) -> bool:
         """Something is taken and not answered to its last byte."""
 
+    @abstractmethod
+    def patience(self, idle: float) -> float:
+        """For how many seconds it may stay as it is: ``idle`` between requests, inf without a bound."""
+
+    def give_up(self) -> None:
+        """Its patience is over: close, and first say so where it has begun to ask."""
+        self.close()
+
     @abstractmethod
     async def serve(self) -> None:
         """Read until the client has had enough."""
@@ -55,6 +71,7 @@
         self.leaving = False  # the program ends: answers say so, and connections end with them
         self.closing = False  # nobody new is let in any more
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one used last is last
+        self._sweeping: asyncio.TimerHandle | None = None
 
     def accept(self, sock: socket.socket, _address: object = None) -> None:
         """Serve a connection; the one idle for longest makes room where there are too many.
@@ -62,8 +79,7 @@
         Guards against clients that together hold more descriptors than the machine gives.
         """
         if len(self.clients) >= self.most:
-            spare = next((c for c in self.clients if c.idle and streams.quiet(c.stream)), None)
-            spare = spare or next((c for c in self.clients if not c.owed), None)  # half asked, for longest
+            spare = self._spare()
             which = "an idle one" if spare else "a new one"
             log.say("front", f"{len(self.clients)} {self._name} clients: {which} is closed")
             if spare is None:
@@ -74,8 +90,38 @@
         client = self._make(self, streams.IOStream(sock, read_chunk_size=streams.READ))
         client.ended = lambda: self._forget(client)
         self.clients[client] = None
+        if self._sweeping is None:
+            self._sweeping = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         asyncio.get_running_loop().create_task(client.serve())
 
+    def _spare(self) -> Client | None:
+        """The connection that can best be done without.
+
+        Guards against clients that connect by the hundred and say nothing driving out those that do ask.
+        """
+        now, idle = asyncio.get_running_loop().time(), None
+        for client in self.clients:
+            if client.idle and streams.quiet(client.stream):
+                if client.fresh and now - client.since > YOUNG:
+                    return client
+                if idle is None or idle.fresh > client.fresh:
+                    idle = client
+        return idle or next((c for c in self.clients if not c.owed), None)  # half asked, for longest
+
+    def _sweep(self) -> None:
+        """Give up who rests for too long, and who begins and does not go on.
+
+        Guards against clients that hold places and descriptors for good: the silent, those that stop
+        halfway in a request, those that never read, and those that ask once and stay.
+        """
+        now = asyncio.get_running_loop().time()
+        idle = IDLE if len(self.clients) <= ROOMY * self.most else CROWDED
+        for client in list(self.clients):
+            overdue = now - client.since > client.patience(idle)
+            if overdue and (client.owed or streams.quiet(client.stream)):  # unread bytes come first
+                client.give_up()
+        self._sweeping = asyncio.get_running_loop().call_later(SWEEP, self._sweep) if self.clients else None
+
     def touch(self, client: Client) -> None:
         """Note that a connection was used."""
         if client in self.clients:
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 from sabledyke import log
 from sabledyke.core import Answer
 from sabledyke.net import streams
-from sabledyke.net.front import Client, Front, Submit
+from sabledyke.net.front import ASKING, READING, Client, Front, Submit
 from sabledyke.protocol.gateway import HEALTH, Reader, to_client
 from sabledyke.protocol.http import MAX_INPUT, HttpError, Message, Parser, encode_response
 
@@ -37,6 +38,21 @@
         """See ``Client``."""
         return self._rid is not None or self._writing
 
+    def patience(self, idle: float) -> float:
+        """See ``Client``."""
+        if self._rid is not None:
+            return inf  # its deadline bounds that
+        if self._writing:
+            return READING
+        return ASKING if self.fresh or not self._parser.idle else idle
+
+    def give_up(self) -> None:
+        """See ``Client``."""
+        if self.owed or self._parser.idle:
+            self.close()
+        else:
+            self._bad(HttpError("a request that does not go on", 408))
+
     def departed(self) -> None:
         """See ``Client``."""
         rid, self._rid = self._rid, None
@@ -48,6 +64,8 @@
         try:
             while True:
                 data = await self.stream.read_bytes(streams.READ, partial=True)
+                if self.idle and not self.fresh:
+                    self.since = asyncio.get_running_loop().time()
                 self._waiting += len(data)
                 if self._waiting > MAX_INPUT:
                     raise HttpError("more sent than one request at a time")
@@ -64,7 +82,7 @@
         message = self._parser.next()
         if message is None:
             return
-        self._waiting = 0
+        self._waiting, self.fresh = 0, False
         self._front.touch(self)
         if message.target.partition("?")[0] == HEALTH:
             last = self._last(message)
@@ -84,11 +102,11 @@
         return self._front.leaving or not message.keep_alive
 
     def _write(self, data: bytes, last: bool) -> None:
-        self._writing = True
+        self._writing, self.since = True, asyncio.get_running_loop().time()
         written = asyncio.ensure_future(self.stream.write(data))
 
         def flushed(_: object) -> None:
-            self._writing = False
+            self._writing, self.since = False, asyncio.get_running_loop().time()
             if last:
                 self.close()
             elif not self.stream.closed():
@@ -103,6 +121,6 @@
         """Bad bytes harm nobody but who sent them."""
         log.say("front", f"a client sent a bad request: {fault}")
         if self._rid is None and not self._writing and not self.stream.closed():
-            self._write(encode_response(400, close=True), True)
+            self._write(encode_response(fault.status, close=True), True)
         else:
             self.close()
--- a/sabledyke/net/nvmefront.py
+++ b/sabledyke/net/nvmefront.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 from sabledyke import log
 from sabledyke.core import Answer, Verdict
 from sabledyke.net import streams
-from sabledyke.net.front import Client, Front, Submit
+from sabledyke.net.front import ASKING, READING, Client, Front, Submit
 from sabledyke.protocol.blocks import Translator
 from sabledyke.protocol.nvme import Command, NvmeError, Target
 
@@ -37,6 +38,12 @@
         """See ``Client``."""
         return bool(self._rids or self._flushing)
 
+    def patience(self, idle: float) -> float:
+        """See ``Client``; a queue that rests is bounded by its keep-alive time."""
+        if self._flushing:
+            return READING
+        return ASKING if self.fresh or self.target.halfway else inf
+
     def departed(self) -> None:
         """See ``Client``; a controller ends with its admin queue, and takes its other queues along."""
         controller, queue = self.target.controller, self.target.queue
@@ -57,9 +64,13 @@
             while True:
                 data = await self.stream.read_bytes(streams.READ, partial=True)
                 self._front.touch(self)
+                frames = self.target.frames
                 for command, payload in self.target.feed(data):
                     self._take(command, payload)
                 self._watch()
+                if not self.fresh and self.target.frames != frames:
+                    self.since = asyncio.get_running_loop().time()
+                self.fresh = self.fresh and self.target.controller is None
                 await self._flush()  # a host that reads nothing is not read from
         except streams.StreamClosedError:
             self.close()
@@ -96,6 +107,7 @@
         if self.target.output:
             data, self.target.output = bytes(self.target.output), bytearray()
             self._flushing += 1
+            self.since = asyncio.get_running_loop().time()
             try:
                 await self.stream.write(data)
             finally:
--- a/sabledyke/protocol/http.py
+++ b/sabledyke/protocol/http.py
@@ -15,7 +15,11 @@
 
 
 class HttpError(Exception):
-    """The bytes are not a message of this protocol, or it is larger than allowed."""
+    """The bytes are not a message of this protocol, or it is larger than allowed; what to answer a client."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
 
 
 @dataclass(slots=True)
@@ -180,7 +184,8 @@
             del self._data[: stop + 2]
 
 
-REASONS = {200: "OK", 400: "Bad Request", 500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {200: "OK", 400: "Bad Request", 408: "Request Timeout", 409: "Conflict",
+           500: "Internal Server Error", 503: "Service Unavailable"}  # fmt: skip
 
 
 def encode_request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
--- a/sabledyke/protocol/nvme.py
+++ b/sabledyke/protocol/nvme.py
@@ -274,18 +274,25 @@
         self._open: dict[int, Command] = {}  # given out and not completed, by command id
         self._size = QUEUE
         self._head = self._tags = 0
+        self.frames = 0  # whole PDUs that came in
 
     @property
     def idle(self) -> bool:
         """No command is open, on its way, or half read."""
         return not self._open and not self._transfers and not self._parser.waiting
 
+    @property
+    def halfway(self) -> bool:
+        """A PDU or the data of a write has come in part."""
+        return bool(self._transfers or self._parser.waiting)
+
     def feed(self, data: bytes) -> list[tuple[Command, bytes]]:
         """Take some bytes; returns reads, and writes with their data. After an NvmeError write and close."""
         self._parser.feed(data)
         out: list[tuple[Command, bytes]] = []
         try:
             while (frame := self._parser.next()) is not None:
+                self.frames += 1
                 out += self._frame(frame)
         except NvmeError as fault:
             info = struct.pack("<HI", fault.fes, fault.fei)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from sabledyke import invariants, operator
 from sabledyke.config import Config
 from sabledyke.core import Ended
-from sabledyke.net import streams
+from sabledyke.net import front, httpfront, nvmefront, streams
 from sabledyke.net.nvmefront import NvmeClient
 from sabledyke.net.server import Server
 from sabledyke.protocol import discovery
@@ -406,17 +406,17 @@
 
 def test_clients_stay_under_their_bound() -> None:
     async def story(rig: Rig) -> None:
-        front = rig.server.fronts[0]
-        front.most = 1
+        clients = rig.server.fronts[0].clients
+        rig.server.fronts[0].most = 1
         for said in (b"", b"GET /half"):
             reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
             writer.write(said)
-            while not front.clients or bool(said) is next(iter(front.clients)).idle:
+            while not clients or bool(said) is next(iter(clients)).idle:
                 await asyncio.sleep(0)
             assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
             assert await reader.read() == b""  # the one that was owed nothing made room
             writer.close()
-            while front.clients:
+            while clients:
                 await asyncio.sleep(0)
 
     play(story)
@@ -492,3 +492,64 @@
         new.die()
 
     play(story)
+
+
+def test_who_connects_and_does_not_go_on_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The silent and half-silent of both fronts get their error or close; a connected host stays."""
+
+    async def story(rig: Rig) -> None:
+        for module in (httpfront, nvmefront):
+            monkeypatch.setattr(module, "ASKING", 0.2)
+        host = await rig.host()
+        web, nvme = rig.port, rig.nvme_port
+        for port, said in ((web, b""), (web, b"GET /half"), (nvme, b""), (nvme, b"\0")):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(said)
+            assert (await reader.read())[:12] == (b"HTTP/1.1 408" if b"half" in said else b"")
+            writer.close()
+        assert await host.admin(0x18) == 0
+        host.io[1].write(b"\x04")  # half a PDU
+        assert await host.io[0].read() == b""
+        host.close()
+
+    play(story)
+
+
+def test_who_asks_once_and_stays_is_let_go_where_places_are_few(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(rig: Rig) -> None:
+        monkeypatch.setattr(front, "CROWDED", 0.2)
+        writers = []
+        for most, stays in ((100, True), (1, False)):
+            rig.server.fronts[0].most = most
+            reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+            writers.append(writer)
+            writer.write(b"GET /_health HTTP/1.1\r\n\r\n")
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            if stays:
+                assert len(rig.server.fronts[0].clients) == 1
+                await asyncio.sleep(3 * front.SWEEP)
+                assert len(rig.server.fronts[0].clients) == 1
+            else:
+                assert await reader.read() == b""
+        for writer in writers:
+            writer.close()
+
+    play(story)
+
+
+def test_the_silent_make_room_before_those_that_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(rig: Rig) -> None:
+        monkeypatch.setattr(front, "YOUNG", 0.0)
+        rig.server.fronts[0].most = 2
+        asked, asker = await asyncio.open_connection("127.0.0.1", rig.port)
+        silent, mute = await asyncio.open_connection("127.0.0.1", rig.port)
+        asker.write(b"GET /_health HTTP/1.1\r\n\r\n")
+        assert await asked.readuntil(b"\r\n\r\n")
+        assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
+        assert await silent.read() == b"" and not asked.at_eof()
+        asker.write(b"GET /_health HTTP/1.1\r\n\r\n")
+        assert await asked.readuntil(b"\r\n\r\n")
+        asker.close()
+        mute.close()
+
+    play(story)
