Shorten budget periods, let new boxes inherit budgets, shed the least worth when crowded

Looked into with a line of state twice a second: - 's-07b8:0/27 u49/50 h37': boxes with nothing out, wide windows and 37 requests held: the budget of a period ran out. It starts anew with each new box (rules.py make(), START alone) and grows by one request a period of 4/3 aim. Ruled out: the boxes' connections (never short), CPU (0.1 s a second), those who ask once and stay.

IDLE and the bound on trials keep their lengths in time.

--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +14,7 @@
 from sabledyke.settings import SettingsError, build, flatten
 
 PREFIX = "GW_"
+CLIENTS = 3  # clients hold one part in so many of the descriptors for requests
 
 
 class ConfigError(Exception):
@@ -80,6 +81,8 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if not isinstance(sockets, int) or sockets < 64:
         raise ConfigError(f"limits.sockets must be a whole number from 64 up, not {sockets!r}")
+    # Guards against a module that counts on more open requests than the descriptors allow.
+    settings = replace(settings, most_open=min(settings.most_open, sockets / CLIENTS))
     words = {name: said(name) for name in ("name", "listen", "discovery")}
     return Config(
         name=words["name"],
--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from math import inf
 
 NodeId = bytes
 
@@ -126,6 +127,7 @@
     meter_period: float
     report_fields: tuple[str, ...]
     kinds: tuple[str, ...] = ()
+    most_open: float = inf  # requests that clients can have open here at a time
     connect_timeout: float = 250.0  # a connection not up by then has failed
     idle_timeout: float = 15000.0  # nodes close connections idle for this long
 
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -10,15 +10,15 @@
 import random
 from collections import deque
 from dataclasses import replace
-from math import exp, inf
+from math import ceil, exp, inf
 
 from sabledyke import interface as api
 from sabledyke.interface import Outcome
 from sabledyke.state import Job, Node, Pace, Records, Volume
 
-PERIOD, HOST_PERIOD = 4 / 3, 2 / 75  # shortest aims: a period at least, and for each host: floors must fit it
+PERIOD, HOST_PERIOD = 1 / 3, 2 / 75  # shortest aims: a period at least, and for each host: floors must fit it
 LOOKBACK, TAU = 30000.0, 1.0  # the admission test: ms it looks back, as long as history lasts; safety margin
-IDLE = 5  # periods without a request that close a volume's session at a node
+IDLE = 20  # periods without a request that close a volume's session at a node
 FLOOR, START, CEILING = 4, 16, 32  # a period's budget, in mean requests: bounds, and before any news
 RECENT, LATE_SHARE = 5, 0.25  # periods whose best sets the budget; share of answers late that "ran past aim"
 WINDOW_LOW, WINDOW_START, WINDOW_HIGH = 0.25, 12.0, 16.0  # in-flight cap, mean requests (start: all hosts)
@@ -27,8 +27,9 @@
 CAP_POWER = 2.5  # work at x of the full worth may fill x ** (CAP_POWER * answer time / aim) of the cap
 PATIENCE, OVERDUE, LOSSY = 0.4, 2.5, 0.05  # overdue after shortest aims, answer times; share of answers lost
 RETURN = 0.25  # shortest aims that a refused client is asked to stay away at least
-SILENCE = 2.0  # shortest aims without a sign of life; trials then back off up to a period
+SILENCE, TRIALS = 2.0, 4 / 3  # shortest aims without a sign of life; trials then back off up to so many
 LUCK = 0.5  # part of a young node's safe units that all hosts together aim at
+CROWDED = 0.7  # part of the places for open requests above which the least worth is not held
 TICK = 10.0  # ms between looks at what is held or out
 WATCH_AGAIN = 500.0, 8000.0  # ms: first and longest wait before the list is watched anew
 LINGERS = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
@@ -90,6 +91,7 @@
             self.place(job)
         for node in self.active:
             self.drain(node)
+        self.make_room()
         self.active = {node: None for node in self.active if node.held or node.flying}
         if self.alarm == inf and (self.limbo or self.active):
             self.alarm = now + TICK
@@ -125,8 +127,10 @@
 
     def make(self, entry: api.NodeEntry) -> Node:
         window = max(1.0, WINDOW_START / self.s.hosts) * self.mean
-        like = self.kinds.setdefault(entry.kind, Pace(window, self.aim / 4))
-        node = Node(entry, START * self.mean, like.window, like.lat, int(self.now // self.period))
+        like = self.kinds.setdefault(entry.kind, Pace(window, self.aim / 4, START * self.mean))
+        # Guards against a fleet whose boxes are ever replaced: the budget of each would start anew.
+        budget = max(START * self.mean, like.budget)
+        node = Node(entry, budget, like.window, like.lat, int(self.now // self.period))
         node.faded, node.young = self.now, entry.started or -inf
         node.recent, node.loads = deque(maxlen=RECENT), deque(maxlen=int(LOOKBACK / self.period) + 1)
         return node
@@ -173,6 +177,7 @@
         due = now + min(kind.aim, ask.remaining)
         job = Job(ask, kind, volume, due, min(due, now - spent + kind.aim), reserved, self.random.random())
         job.ran = ask.ran
+        job.worth = (1.0 if reserved else self.s.share_worth) * kind.worth * volume.plan.worth_factor
         self.jobs[ask.id] = job
         if kind.ordered and ask.key:
             self.chains.setdefault(ask.key, deque()).append(job)
@@ -213,13 +218,26 @@
         ))  # fmt: skip
         self.roll(node)
         node.asked += job.ask.units
-        rank = 1.0 if job.reserved else self.s.share_worth
-        job.worth = rank * job.kind.worth * job.volume.plan.worth_factor
         if not job.sent and not self.admit(job, node):
             return self.refuse(job, (node.period + 1) * self.period - self.now)
         node.held.append(job)
         self.active[node] = None
 
+    def make_room(self) -> None:
+        """Refuse the least worth of what is held while nearly all places for open requests are taken.
+
+        Guards against work that waits for room keeping worthier requests from coming in at all: clients
+        have only so many connections, and each open request takes one.
+        """
+        most = CROWDED * self.s.most_open
+        if len(self.jobs) <= most:
+            return
+        excess = sum(not j.over for j in self.jobs.values()) - most
+        held = [j for n in self.active for j in n.held] + self.limbo
+        idle = sorted((j for j in held if not j.out and not j.over), key=lambda j: (j.worth, -j.due))
+        for job in idle[: max(0, ceil(excess))]:
+            self.refuse(job)
+
     def admit(self, job: Job, node: Node) -> bool:
         """The admission test for a volume newly active at this node."""
         volume, admitted = job.ask.volume, self.admitted(node)
@@ -251,6 +269,7 @@
         if filled and node.answers:
             node.budget = max(node.recent) if past_aim else max(node.budget + self.mean, max(node.recent))
         node.budget = min(max(node.budget, FLOOR * self.mean), CEILING * self.mean)
+        like.budget += SMOOTH * (node.budget - like.budget)
         node.used = node.served = node.answers = node.late = 0
         node.asked = sum(j.ask.units for j in node.held)
 
@@ -316,7 +335,8 @@
         while node.sends[0][0] < now - self.s.fall_window:
             node.sends.popleft()
         node.tries += 1
-        node.trial = now + min(self.silence * 2**node.tries / 2, self.period) * (0.5 + self.random.random())
+        wait = min(self.silence * 2**node.tries / 2, TRIALS * self.aim)
+        node.trial = now + wait * (0.5 + self.random.random())
         # What waits past its aim is worth little and stands before others: it is called off where that helps.
         self.out.append(api.Send(job.ask.id, node.entry.node, max(1.0, job.soon - now)))
 
--- a/sabledyke/settings.py
+++ b/sabledyke/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from math import inf
 
 from sabledyke import interface as api
 
@@ -108,6 +109,7 @@
         meter_period=num("family_info.meter_period", 0.0),
         report_fields=words("telemetry.fields"),
         kinds=words("kinds"),
+        most_open=num("ceilings.open_cap", inf),
         connect_timeout=num("ceilings.connect_timeout", 250.0),
         idle_timeout=num("ceilings.conn_idle", 15000.0),
     )
--- a/sabledyke/state.py
+++ b/sabledyke/state.py
@@ -45,6 +45,7 @@
 
     window: float
     lat: float
+    budget: float
 
 
 @dataclass(slots=True, eq=False)
