--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -109,7 +109,7 @@
     done: Callable[[Answer], None]
     answered: bool = False
     attempts: int = 0
-    out: dict[int, tuple[float, api.NodeId]] = field(default_factory=dict)
+    out: dict[int, tuple[float, api.NodeEntry]] = field(default_factory=dict)
     ran: tuple[float, api.NodeEntry] | None = None  # first send that may have run, and where
 
 
@@ -168,19 +168,28 @@
         assert request is not None
         sent, node = request.out.pop(number)
         if end.may_have_run:
-            request.ran = request.ran or (sent, self.nodes[node])
+            request.ran = request.ran or (sent, node)
         if end.outcome is Outcome.OK and not request.answered:
             self._answer(rid, Answer(Verdict.SERVED, end.body))
         self._event(api.Attempted(
-            rid, node, number, end.outcome, request.answered, now - sent, end.used_percent,
+            rid, node.node, number, end.outcome, request.answered, now - sent, end.used_percent,
             end.others_units, end.load,
         ))  # fmt: skip
         self._forget(rid)
 
-    def listed(self, news: api.NodeList) -> None:
-        """News of the list of nodes."""
+    def listed(self, news: api.NodeList) -> list[api.NodeId]:
+        """News of the list of nodes; returns those that are gone, which are forgotten here.
+
+        Guards against growing with every box there ever was: attempts keep the entry that they need.
+        """
         self.nodes.update((entry.node, entry) for entry in news.entries)
+        part = news.kind in (api.ListKind.DELTA, api.ListKind.FAILED)
+        named = self.nodes.keys() if part else {entry.node for entry in news.entries}
+        gone = [n for n, e in self.nodes.items() if e.state is api.NodeState.GONE or n not in named]
+        for node in gone:
+            del self.nodes[node]
         self._event(news)
+        return gone
 
     def due(self) -> float | None:
         """When ``turn`` must be called next, if no event comes before."""
@@ -250,23 +259,27 @@
         assert request is not None
         number, request.attempts = request.attempts, request.attempts + 1
         left = request.deadline - CUT - now
-        beyond = not check(self._may_run(now, request, node), "no repeat beyond its key", f"request {rid}")
-        request.out[number] = now, node
+        entry = self.nodes.get(node)
+        if not check(entry is not None, "no send to a box that is not listed", api.name_of(node)):
+            entry = api.NodeEntry(node, -1, -1, -1, 0.0, 0.0, api.NodeState.GONE)
+        assert entry is not None
+        beyond = entry.state is api.NodeState.GONE
+        beyond |= not check(self._may_run(now, request, entry), "no repeat beyond its key", f"request {rid}")
+        request.out[number] = now, entry
         if beyond or number >= self.settings.max_attempts or left <= 0:
             self.ended(now, rid, number, Ended(Outcome.MOOT, False))
             return
         self.transport.start(rid, number, node, request.work, min(timeout, left) if timeout else left)
 
-    def _may_run(self, now: float, request: _Open, node: api.NodeId) -> bool:
+    def _may_run(self, now: float, request: _Open, here: api.NodeEntry) -> bool:
         """Rule 2, seen from here: a write is never sent again where and when its key does not hold."""
         kind = self.settings.classes[request.work.class_]
-        sent = [request.ran] if request.ran else [(at, self.nodes[n]) for at, n in request.out.values()]
+        sent = [request.ran] if request.ran else list(request.out.values())
         if kind.repeat is api.Repeat.IDEMPOTENT or not sent:
             return True
         at, first = min(sent, key=lambda s: s[0])
         if kind.repeat is api.Repeat.AT_MOST_ONCE or now >= at + kind.repeat_window:
             return False
-        here = self.nodes[node]
         if kind.group is api.Group.CELL:
             return here.shard == first.shard
         return kind.group is api.Group.ALL or here.zone == first.zone
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -8,9 +8,9 @@
 
 from sabledyke import log
 from sabledyke.core import Answer
-from sabledyke.net import streams
+from sabledyke.net import clock, streams
 from sabledyke.net.front import ASKING, READING, Client, Front, Submit
-from sabledyke.protocol.gateway import HEALTH, Reader, to_client
+from sabledyke.protocol.gateway import HEALTH, Ids, Reader, to_client
 from sabledyke.protocol.http import MAX_INPUT, HttpError, Message, Parser, encode_response
 
 
@@ -18,11 +18,11 @@
     """A connection: a request at a time, each answered before the next is looked at."""
 
     def __init__(
-        self, front: Front, stream: streams.IOStream, reader: Reader, submit: Submit,
+        self, front: Front, stream: streams.IOStream, reader: Reader, ids: Ids, submit: Submit,
         depart: Callable[[int], None],
     ) -> None:  # fmt: skip
         super().__init__(stream)
-        self._front, self._reader, self._submit, self._depart = front, reader, submit, depart
+        self._front, self._reader, self._ids, self._submit, self._depart = front, reader, ids, submit, depart
         self._parser = Parser()
         self._rid: int | None = None  # the request in work
         self._writing = False
@@ -89,6 +89,7 @@
             self._write(encode_response(200, close=last), last)
             return
         work = self._reader.work(message)
+        self._ids.claim(clock.now(), work)
 
         def done(answer: Answer) -> None:
             self._rid = None
--- a/sabledyke/net/httplink.py
+++ b/sabledyke/net/httplink.py
@@ -16,7 +16,7 @@
     """See ``pool.Link``."""
 
     def __init__(self, host: str, stream: streams.IOStream, reader: Reader) -> None:
-        self.stream = stream
+        self.stream, self.inbox = stream, streams.Inbox(stream)
         self._host, self._reader = host, reader
         self._parser = Parser(responses=True)
         self._written: asyncio.Future[None] | None = None
@@ -41,14 +41,7 @@
 
     async def _answer(self) -> Message:
         while True:
-            try:
-                self._parser.feed(await self.stream.read_bytes(streams.READ, partial=True))
-            except streams.StreamClosedError:
-                self._parser.eof()
-                answer = self._parser.next()
-                if answer is None:
-                    raise
-                return answer
+            self._parser.feed(await self.inbox.read())
             answer = self._parser.next()
             if answer is not None:
                 return answer
--- a/sabledyke/net/nvmelink.py
+++ b/sabledyke/net/nvmelink.py
@@ -35,7 +35,7 @@
     """One queue's connection."""
 
     def __init__(self, stream: streams.IOStream) -> None:
-        self.stream, self.machine = stream, Initiator()
+        self.stream, self.inbox, self.machine = stream, streams.Inbox(stream), Initiator()
         self.written: asyncio.Future[None] | None = None
 
     async def run(
@@ -50,7 +50,7 @@
                     data, self.machine.output = bytes(self.machine.output), bytearray()
                     written = asyncio.ensure_future(self.stream.write(data))
                     self.written = self.written or written
-                for done in self.machine.feed(await self.stream.read_bytes(streams.READ, partial=True)):
+                for done in self.machine.feed(await self.inbox.read()):
                     return done
         except NvmeError as fault:
             streams.abort(self.stream)
@@ -70,7 +70,7 @@
 
     def __init__(self, channel: _Channel, translator: Translator) -> None:
         self._channel, self._translator = channel, translator
-        self.stream = channel.stream
+        self.stream, self.inbox = channel.stream, channel.inbox
         self.reusable = True
         self._work: Work | None = None
 
@@ -97,7 +97,7 @@
             self.reusable = True
             return Ended(Outcome.ERROR, False)
         done, data = await self._channel.run(command, payload)
-        self.reusable = True
+        self.reusable = not self._channel.machine.surplus
         return self._translator.from_box(work, done, data)
 
 
@@ -113,6 +113,7 @@
         self._queues: dict[int, streams.IOStream] = {}
         self._lock = asyncio.Lock()
         self._keeping: asyncio.Task[None] | None = None
+        self.left = False  # the box is gone from the list
 
     async def queue(self, timeout: float) -> _Channel:
         """A new I/O queue."""
@@ -161,6 +162,8 @@
         try:
             while True:
                 await asyncio.sleep(KEEP_ALIVE / 3000)
+                if self.left and all(stream.closed() for stream in self._queues.values()):
+                    return streams.abort(admin.stream)
                 async with asyncio.timeout(KEEP_ALIVE / 3000):
                     await admin.must(Command(Admin.KEEP_ALIVE, 0))
         except (streams.StreamClosedError, BadPeer, OSError):
@@ -195,6 +198,15 @@
             channel = await known.queue(self.settings.connect_timeout)
         return NvmeLink(channel, self._translator)
 
+    def forget(self, node: api.NodeId) -> None:
+        """The box is gone from the list: leave it once what is out there has ended.
+
+        Guards against keeping an association, and its descriptor, with every box there ever was.
+        """
+        association = self._associations.pop(node, None)
+        if association is not None:
+            association.left = True
+
     def close(self) -> None:
         """Leave all boxes."""
         for association in self._associations.values():
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 from sabledyke import interface as api
@@ -25,6 +25,7 @@
     """An open connection to a box."""
 
     stream: streams.IOStream
+    inbox: streams.Inbox
 
     @property
     def may_have_run(self) -> bool:
@@ -73,8 +74,11 @@
         self._flights: dict[tuple[int, int], _Flight] = {}
         self._slots = 0
 
-    def learn(self, addresses: dict[api.NodeId, Address]) -> None:
-        """Learn where nodes listen; connections to a former address are not used again."""
+    def learn(self, addresses: dict[api.NodeId, Address], gone: Iterable[api.NodeId] = ()) -> None:
+        """Learn where nodes listen and which are gone; connections to a former address are not used again."""
+        for node in gone:
+            if self._addresses.pop(node, None):
+                self.close_idle(node)
         for node, address in addresses.items():
             if self._addresses.get(node, address) != address:
                 self.close_idle(node)
@@ -146,8 +150,7 @@
     def _reuse(self, node: api.NodeId) -> _Slot | None:
         while self._idle.get(node):
             slot = self._idle[node][-1]
-            self._take(slot)
-            if streams.quiet(slot.link.stream):
+            if self._take(slot):
                 return slot
             self._discard(slot)
         return None
@@ -159,16 +162,16 @@
         self._idle.setdefault(slot.node, []).append(slot)
         after = self.settings.idle_timeout * IDLE_PART / 1000
         slot.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, slot)
-        slot.link.stream.set_close_callback(lambda: self._drop_idle(slot))
+        slot.link.inbox.rest(lambda: self._drop_idle(slot))
 
-    def _take(self, slot: _Slot) -> None:
-        """Out of the idle ones."""
+    def _take(self, slot: _Slot) -> bool:
+        """Out of the idle ones; whether it can be used."""
         self._idle[slot.node].remove(slot)
         if not self._idle[slot.node]:
             del self._idle[slot.node]
         if slot.expiry is not None:
             slot.expiry.cancel()
-        slot.link.stream.set_close_callback(None)
+        return slot.link.inbox.wake()
 
     def _drop_idle(self, slot: _Slot) -> None:
         if slot in self._idle.get(slot.node, ()):
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -19,7 +19,7 @@
 from sabledyke.net.pool import Address, Link, Pool
 from sabledyke.net.watch import Watch
 from sabledyke.protocol.discovery import Listing
-from sabledyke.protocol.gateway import Reader
+from sabledyke.protocol.gateway import Ids, Reader
 
 if TYPE_CHECKING:  # loaded only where they are switched on: a plain start must be quick
     from sabledyke.net.nvmelink import NvmeDialer
@@ -61,8 +61,9 @@
             self._recorded.inner = self.pool
             transport = self._recorded
         self.core = Core(settings, config.seed, transport, self.watch, self._wake)
+        ids = Ids()
         self.fronts = [Front("HTTP", 0, lambda front, stream: HttpClient(
-            front, stream, self._reader, self._submit, self.core.depart))]  # fmt: skip
+            front, stream, self._reader, ids, self._submit, self.core.depart))]  # fmt: skip
         self._boxes: dict[api.NodeId, str] = {}
         if operator is not None and (operator.listen or operator.boxes):
             self._set_up_nvme(operator)
@@ -206,8 +207,11 @@
         if listing is None:
             self.core.listed(api.NodeList(api.ListKind.FAILED, 0, ()))
         else:
-            self.pool.learn(listing.dials)
-            self.core.listed(listing.news)
+            gone = self.core.listed(listing.news)
+            self.pool.learn(listing.dials, gone)
+            if self._nvme is not None:
+                for node in gone:
+                    self._nvme.forget(node)
 
     def _report(self, rid: int, number: int, ended: Ended) -> None:
         if self._store is not None:
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -26,6 +27,38 @@
     return stream
 
 
+class Inbox:
+    """Reads a stream for a link, also while no answer is awaited.
+
+    Guards against an answer that was not asked for, sent while the connection rests: the stream would take
+    it into its buffer, where it looks like nothing, and it would be read as the answer to the next request.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._ahead: asyncio.Future[bytes] | None = None
+        self._heard: Callable[[], None] = lambda: None
+
+    async def read(self) -> bytes:
+        """What comes next."""
+        ahead, self._ahead = self._ahead, None
+        return await (ahead or self._stream.read_bytes(READ, partial=True))
+
+    def rest(self, heard: Callable[[], None]) -> None:
+        """Nothing is to come from now on; ``heard`` is called if it does, or if the stream ends."""
+        self._heard = heard
+        try:
+            self._ahead = asyncio.ensure_future(self._stream.read_bytes(READ, partial=True))
+            self._ahead.add_done_callback(lambda _: self._heard())
+        except StreamClosedError:
+            asyncio.get_running_loop().call_soon(heard)
+
+    def wake(self) -> bool:
+        """An answer is to come next; whether the stream is fit for it."""
+        self._heard = lambda: None
+        return self._ahead is not None and not self._ahead.done() and quiet(self._stream)
+
+
 def quiet(stream: IOStream) -> bool:
     """Open, and the peer has neither said nor ended anything that was not read yet.
 
@@ -49,4 +82,4 @@
         stream.close()
 
 
-__all__ = ["READ", "IOStream", "StreamClosedError", "abort", "connect", "quiet"]
+__all__ = ["READ", "IOStream", "Inbox", "StreamClosedError", "abort", "connect", "quiet"]
--- a/sabledyke/protocol/gateway.py
+++ b/sabledyke/protocol/gateway.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import math
 import re
+from itertools import islice
 
 from sabledyke import interface as api
 from sabledyke.core import Answer, Ended, Verdict, Work
@@ -12,6 +12,9 @@
 
 HEALTH = "/_health"
 _HEX16 = re.compile(r"[0-9a-fA-F]{1,16}")
+_DECIMAL, _WHOLE = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?"), re.compile(r"-?[0-9]{1,9}")
+_METHODS = ("GET", "PUT")  # a read and a write
+MOST_IDS = 16384  # ids that are remembered at a time
 _REPORT = {"concurrent": "inflight", "mean_ms": "latency_ms", "depth": "queue", "load_share": "util",
            "tps": "qps", "err_ps": "eps"}  # fmt: skip
 
@@ -32,6 +35,10 @@
     def work(self, message: Message) -> Work:
         """A client's request; an HttpError says what is wrong with it."""
         headers = message.headers
+        if message.method not in _METHODS:
+            raise HttpError(f"no method for a read or write: {message.method[:20]}", 405)
+        if message.method == "GET" and message.body:
+            raise HttpError("a read with a body")
         kind, tier, ident = (headers.get(name, "") for name in ("req-kind", "tier", "req-id"))
         if kind not in self._classes or tier not in self._plans or not ident:
             raise HttpError("no known Req-Kind, Tier or Req-Id")
@@ -39,15 +46,19 @@
         if len(parts) < 3 or not (_HEX16.fullmatch(parts[-1]) and _HEX16.fullmatch(parts[-2])):
             raise HttpError("path names no volume and piece of data")
         info = dict(p.strip().partition("=")[::2] for p in headers.get("io-info", "").split(","))
-        try:
-            units, shard = float(info.get("units", 1)), int(info.get("shard", -1))
-            hosts, remaining = float(info.get("hosts", 1)), 1000 * float(headers.get("req-deadline", "nan"))
-        except ValueError:
-            raise HttpError("malformed IO-Info or Req-Deadline") from None
-        if not (0 < units < math.inf and 1 <= hosts < math.inf and 0 < remaining < math.inf):
+        said = info.get("units", "1"), info.get("hosts", "1"), headers.get("req-deadline", "")
+        if not all(map(_DECIMAL.fullmatch, said)) or not _WHOLE.fullmatch(info.get("shard", "-1")):
+            raise HttpError("malformed IO-Info or Req-Deadline")
+        units, hosts, remaining = float(said[0]), float(said[1]), 1000 * float(said[2])
+        shard, class_ = int(info.get("shard", "-1")), self._classes[kind]
+        if min(units, remaining) <= 0 or hosts < 1:
             raise HttpError("IO-Info or Req-Deadline out of range")
+        # Guards against one client's figures bending what is learnt from all: beyond what the settings
+        # have, they count for no more than that.
+        units, hosts = min(units, self._settings.most_units), min(hosts, self._settings.hosts)
+        remaining = min(remaining, self._settings.classes[class_].deadline)
         return Work(
-            class_=self._classes[kind], plan=self._plans[tier], volume=int(parts[-2], 16),
+            class_=class_, plan=self._plans[tier], volume=int(parts[-2], 16),
             key=int(parts[-1], 16), units=units, shard=shard, hosts=hosts, remaining=remaining,
             repeated=headers.get("req-retry") == "1", write=message.method != "GET", ident=ident,
             token=headers.get("idempotency-key", ""), method=message.method, target=message.target,
@@ -79,6 +90,31 @@
             return ()
 
 
+class Ids:
+    """The ids of requests that clients may still be waiting for.
+
+    Guards against a second request under an id that is in use: its answer could be another's, and a box
+    would take it for a repeat. Bounded: what is past its deadline goes first, then what came first.
+    """
+
+    def __init__(self, most: int = MOST_IDS) -> None:
+        self._most = most
+        self._until: dict[int, float] = {}  # by hash: a long id takes no more room; in order of coming
+
+    def claim(self, now: float, work: Work) -> None:
+        """Take an id; an HttpError where it is taken."""
+        for old, until in list(islice(self._until.items(), 2)):  # two go for one that comes
+            if until <= now:
+                del self._until[old]
+        key = hash(work.ident)
+        if self._until.get(key, now) > now:
+            raise HttpError("the id of a request that is not over", 409)
+        self._until.pop(key, None)
+        if len(self._until) >= self._most:
+            del self._until[next(iter(self._until))]
+        self._until[key] = now + work.remaining
+
+
 def _whole(text: str | None) -> int | None:
     try:
         return None if text is None else int(float(text))
--- a/sabledyke/protocol/http.py
+++ b/sabledyke/protocol/http.py
@@ -41,10 +41,10 @@
         self._responses = responses
         self._data = bytearray()
         self._message: Message | None = None  # its head is read, its body is not
-        self._length: int | None = None  # bytes of body to come; None for chunks or until the end
+        self._length = 0  # bytes of body to come, where they do not come in chunks
         self._chunked = False
         self._trailer = -1  # bytes of trailer lines so far, once the last chunk is read
-        self._ended = False
+        self._interim = 0  # bytes of interim answers before this one
 
     def feed(self, data: bytes) -> None:
         """Take some bytes."""
@@ -52,10 +52,6 @@
         if len(self._data) > MAX_INPUT:
             raise HttpError("more input than one message may have")
 
-    def eof(self) -> None:
-        """The peer has ended its sending."""
-        self._ended = True
-
     @property
     def idle(self) -> bool:
         """Nothing of a message has come in."""
@@ -63,20 +59,14 @@
 
     def next(self) -> Message | None:
         """The next whole message, or None until more bytes come."""
-        if self._message is None and not self._head():
-            return None
+        while self._message is None:
+            if not self._head():
+                return None
         message = self._message
         assert message is not None
         if self._chunked:
             if not self._chunks(message):
                 return None
-        elif self._length is None:  # a response that lasts until its connection ends
-            if len(self._data) > MAX_BODY:
-                raise HttpError("body too large")
-            if not self._ended:
-                return None
-            message.body, message.keep_alive = bytes(self._data), False
-            self._data.clear()
         elif len(self._data) < self._length:
             return None
         else:
@@ -86,6 +76,7 @@
         return message
 
     def _head(self) -> bool:
+        """Read one head, if it is whole; that of an interim answer is passed over."""
         while self._data[:2] == b"\r\n":  # blank lines before a message are passed over
             del self._data[:2]
         end = self._data.find(b"\r\n\r\n", 0, MAX_HEAD)
@@ -107,14 +98,17 @@
                 text = f"{message.headers[key]}, {text}"
             message.headers[key] = text
         options = {t.strip() for t in message.headers.get("connection", "").lower().split(",")}
-        if first.startswith(b"HTTP/1.0") or first.endswith(b"HTTP/1.0"):
+        if b"HTTP/1.0" in (first[:8], first[-8:]):
             message.keep_alive = "keep-alive" in options
         else:
             message.keep_alive = "close" not in options
-        self._framing(message)
-        if 100 <= message.status < 200:  # an interim response has no body; the real one follows
-            return self._head()
-        self._message = message
+        if 100 <= message.status < 200:  # an interim answer has no body; the real one follows
+            self._interim += end + 4
+            if self._interim > MAX_HEAD:
+                raise HttpError("interim answers without end")
+            return True
+        self._framing(message, b"HTTP/1.0" in (first[:8], first[-8:]))
+        self._message, self._interim = message, 0
         return True
 
     def _first_line(self, line: bytes) -> Message:
@@ -131,11 +125,11 @@
             raise HttpError("malformed method or target")
         return Message(method=parts[0].decode(), target=parts[1].decode())
 
-    def _framing(self, message: Message) -> None:
+    def _framing(self, message: Message, old: bool) -> None:
         coding, length = message.headers.get("transfer-encoding"), message.headers.get("content-length")
         self._chunked, self._trailer = False, -1
         if coding is not None:
-            if length is not None or coding.lower() != "chunked":
+            if length is not None or coding.lower() != "chunked" or old:
                 raise HttpError("unsupported transfer coding")
             self._chunked = True
         elif length is not None:
@@ -146,8 +140,8 @@
                 raise HttpError("body too large")
         elif message.status in (0, 204, 304):
             self._length = 0
-        else:
-            self._length = None
+        else:  # guards against serving what a broken connection cut off: it would look whole
+            raise HttpError("an answer that does not state its length")
 
     def _chunks(self, message: Message) -> bool:
         while True:
@@ -165,7 +159,7 @@
                 if not line:
                     return True
                 continue
-            digits = line.partition(b";")[0].strip()
+            digits = line.partition(b";")[0].rstrip(b" \t")
             if not _HEX.fullmatch(digits):
                 raise HttpError("malformed chunk size")
             size = int(digits, 16)
@@ -184,8 +178,11 @@
             del self._data[: stop + 2]
 
 
-REASONS = {200: "OK", 400: "Bad Request", 408: "Request Timeout", 409: "Conflict",
-           500: "Internal Server Error", 503: "Service Unavailable"}  # fmt: skip
+REASONS = {
+    200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+    500: "Internal Server Error", 503: "Service Unavailable",
+}  # fmt: skip
+
 
 
 def encode_request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
--- a/sabledyke/protocol/nvme.py
+++ b/sabledyke/protocol/nvme.py
@@ -540,12 +540,18 @@
     def feed(self, data: bytes) -> list[tuple[Completion, bytes]]:
         """Take some bytes; returns the completion that came, with what was read."""
         self._parser.feed(data)
-        out = []
-        while (frame := self._parser.next()) is not None:
+        out: list[tuple[Completion, bytes]] = []
+        # Guards against what comes after a completion spoiling it: that is left, and shows as surplus.
+        while not out and (frame := self._parser.next()) is not None:
             done = self._frame(frame)
             out += [done] if done is not None else []
         return out
 
+    @property
+    def surplus(self) -> bool:
+        """More came than belongs to the last command: the connection is not to be used again."""
+        return self._parser.waiting > 0
+
     def _frame(self, frame: Frame) -> tuple[Completion, bytes] | None:
         if frame.kind is Pdu.IC_RESP and not self._ready:
             version, alignment, digests, self._max_data = struct.unpack_from("<HBBI", frame.header)
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -30,6 +30,7 @@
 SILENCE, TRIALS = 2.0, 4 / 3  # shortest aims without a sign of life; trials then back off up to so many
 LUCK = 0.5  # part of a young node's safe units that all hosts together aim at
 CROWDED = 0.7  # part of the places for open requests above which the least worth is not held
+TIDY = 10000.0  # ms between looks at what can be forgotten, which has rested for as long
 TICK = 10.0  # ms between looks at what is held or out
 WATCH_AGAIN = 500.0, 8000.0  # ms: first and longest wait before the list is watched anew
 LINGERS = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
@@ -92,6 +93,7 @@
         for node in self.active:
             self.drain(node)
         self.make_room()
+        self.tidy()
         self.active = {node: None for node in self.active if node.held or node.flying}
         if self.alarm == inf and (self.limbo or self.active):
             self.alarm = now + TICK
@@ -166,10 +168,11 @@
                 times.popleft()
         self.longest[ask.class_] = max(self.longest[ask.class_], ask.remaining)
         spent = kind.deadline - ask.remaining if ask.remaining < self.longest[ask.class_] - 1 else 0.0
-        volume = self.volumes.get(ask.volume)
+        name = ask.volume, ask.plan  # a client that names another plan spends nothing of this one's
+        volume = self.volumes.get(name)
         if volume is None:  # a former life may have spent this host's part of the limit: it starts empty
             volume = Volume(self.s.plans[ask.plan], 1.0, self.s.most_units, 0.0, self.born)
-            self.volumes[ask.volume] = volume
+            self.volumes[name] = volume
         volume.part = min(volume.part, 1 / max(1.0, ask.hosts))
         self.refill(volume)
         reserved = volume.reserve >= ask.units and volume.plan.reservation > 0
@@ -238,6 +241,25 @@
         for job in idle[: max(0, ceil(excess))]:
             self.refuse(job)
 
+    def tidy(self) -> None:
+        """Forget what the next meeting would find alike: volumes whose stores are full, boxes long gone.
+
+        Guards against growing for months with ever-new volumes and boxes.
+        """
+        if self.now < self.tidied + TIDY:
+            return
+        self.tidied, late = self.now, self.now - max(TIDY, self.s.fall_window)
+        for name, volume in list(self.volumes.items()):
+            if volume.at < late:
+                self.refill(volume)
+                most = volume.plan.reservation * volume.part + self.s.most_units
+                if volume.reserve >= most and volume.limit >= volume.plan.limit_burst * volume.part:
+                    del self.volumes[name]
+        for node in list(self.nodes.values()):
+            rests = not node.held and not node.flying and (not node.sends or node.sends[-1][0] < late)
+            if node.entry.state is api.NodeState.GONE and rests:
+                del self.nodes[node.entry.node]
+
     def admit(self, job: Job, node: Node) -> bool:
         """The admission test for a volume newly active at this node."""
         volume, admitted = job.ask.volume, self.admitted(node)
--- a/sabledyke/state.py
+++ b/sabledyke/state.py
@@ -91,7 +91,8 @@
         self.kinds: dict[int, Pace] = {}  # what the nodes of a kind show lately
         self.jobs: dict[int, Job] = {}
         self.limbo: list[Job] = []  # jobs without a node
-        self.volumes: dict[int, Volume] = {}
+        self.volumes: dict[tuple[int, int], Volume] = {}  # by volume and plan
+        self.tidied = -inf  # when what can be forgotten was last looked for
         self.chains: dict[int, deque[Job]] = {}  # by key: jobs that must go in turn
         self.rests: dict[int, float] = {}  # by key: until when it rests
         self.taken = deque[float]()  # when requests came
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -213,3 +213,20 @@
     rig.end(rig.ask(volume=2), took=20)
     rig.wait(100)
     assert rig.sends(large) == 1
+
+
+def test_nothing_is_kept_of_boxes_that_are_gone_and_volumes_that_rest() -> None:
+    rig = Rig()
+    for n in range(2, 200):
+        rig.do(listing(node(n)))
+        rig.end(rig.ask(shard=n, plan=n % 2, volume=n), where=n)
+        rig.wait(500)
+    longest = 2 * rules.TIDY + SETTINGS.fall_window
+    assert len(rig.scheduler.nodes) <= longest / 500 and len(rig.scheduler.volumes) <= longest / 500
+
+
+def test_a_client_that_names_another_plan_spends_nothing_of_this_one() -> None:
+    rig = Rig()
+    rig.end(rig.ask(plan=0))
+    rid = rig.ask(plan=1)
+    assert rig.scheduler.jobs[rid].reserved
