Pass on answers of up to 1 MiB within a bound on memory

Answers may now have 1 MiB; all that are on their way, to slow clients as well, share a quarter of limits.memory_mb, past which only small ones pass. A client has as long as its class's deadline to take its answer in, where 2.25 s would cut off a slow one.

--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -30,6 +30,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory: int  # bytes
     known: Listing | None
     settings: api.Settings
     file: Mapping[str, object] = field(default_factory=dict)  # name and addresses, as the file has them ...
@@ -84,12 +85,16 @@
     # Guards against a module that counts on more open requests than the descriptors allow.
     settings = replace(settings, most_open=min(settings.most_open, sockets / CLIENTS))
     words = {name: said(name) for name in ("name", "listen", "discovery")}
+    memory = limits.get("memory_mb", 64)
+    if not isinstance(memory, int | float) or not 1 <= memory < 1 << 20:
+        raise ConfigError(f"limits.memory_mb must be a number from 1 up, not {memory!r}")
     return Config(
         name=words["name"],
         listen=address(words["listen"]),
         discovery=address(words["discovery"]),
         seed=seed,
         sockets=sockets,
+        memory=int(memory * 1024 * 1024),
         known=None if known is None else read(known, settings, cached=True),
         settings=settings,
         file={name: data.get(name) for name in words},
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -7,6 +7,7 @@
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Callable
+from math import inf
 
 from sabledyke import log
 from sabledyke.core import Answer, Work
@@ -15,7 +16,6 @@
 Submit = Callable[[Work, Callable[[Answer], None]], int]
 SWEEP = 0.25  # seconds between looks at who keeps a connection without asking
 ASKING = 2.25  # seconds for the first request after connecting, and for each that has begun
-READING = 2.25  # seconds for a client to take in an answer
 IDLE, CROWDED = 10.0, 2.0  # seconds that a connection may rest between requests, and once others need places
 ROOMY = 0.25  # part of the places up to which no one is needed
 YOUNG = 0.25  # seconds in which a new connection is spared where room must be made
@@ -66,8 +66,11 @@
 class Front:
     """All connections of clients that speak one protocol."""
 
-    def __init__(self, name: str, most: int, make: Callable[[Front, streams.IOStream], Client]) -> None:
-        self._name, self.most, self._make = name, most, make
+    def __init__(
+        self, name: str, most: int, make: Callable[[Front, streams.IOStream], Client], room: streams.Room
+    ) -> None:
+        self._name, self.most, self._make, self.room = name, most, make, room
+        self.reading = inf  # seconds for a client to take in an answer
         self.leaving = False  # the program ends: answers say so, and connections end with them
         self.closing = False  # nobody new is let in any more
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one used last is last
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -9,7 +9,7 @@
 from sabledyke import log
 from sabledyke.core import Answer
 from sabledyke.net import clock, streams
-from sabledyke.net.front import ASKING, READING, Client, Front, Submit
+from sabledyke.net.front import ASKING, Client, Front, Submit
 from sabledyke.protocol.gateway import HEALTH, Ids, Reader, to_client
 from sabledyke.protocol.http import MAX_INPUT, HttpError, Message, Parser, encode_response
 
@@ -43,7 +43,7 @@
         if self._rid is not None:
             return inf  # its deadline bounds that
         if self._writing:
-            return READING
+            return self._front.reading
         return ASKING if self.fresh or not self._parser.idle else idle
 
     def give_up(self) -> None:
@@ -104,10 +104,12 @@
 
     def _write(self, data: bytes, last: bool) -> None:
         self._writing, self.since = True, asyncio.get_running_loop().time()
+        self._front.room.used += len(data)
         written = asyncio.ensure_future(self.stream.write(data))
 
         def flushed(_: object) -> None:
             self._writing, self.since = False, asyncio.get_running_loop().time()
+            self._front.room.used -= len(data)
             if last:
                 self.close()
             elif not self.stream.closed():
--- a/sabledyke/net/httplink.py
+++ b/sabledyke/net/httplink.py
@@ -9,15 +9,15 @@
 from sabledyke.net import streams
 from sabledyke.net.pool import Address, BadPeer
 from sabledyke.protocol.gateway import Reader, to_box
-from sabledyke.protocol.http import HttpError, Message, Parser
+from sabledyke.protocol.http import MAX_BODY, HttpError, Message, Parser
 
 
 class HttpLink:
     """See ``pool.Link``."""
 
-    def __init__(self, host: str, stream: streams.IOStream, reader: Reader) -> None:
+    def __init__(self, host: str, stream: streams.IOStream, reader: Reader, room: streams.Room) -> None:
         self.stream, self.inbox = stream, streams.Inbox(stream)
-        self._host, self._reader = host, reader
+        self._host, self._reader, self._room = host, reader, room
         self._parser = Parser(responses=True)
         self._written: asyncio.Future[None] | None = None
         self.reusable = True
@@ -40,20 +40,28 @@
         return self._reader.ended(answer)
 
     async def _answer(self) -> Message:
-        while True:
-            self._parser.feed(await self.inbox.read())
-            answer = self._parser.next()
-            if answer is not None:
-                return answer
+        held = 0
+        try:
+            while True:
+                self._parser.feed(await self.inbox.read())
+                answer = self._parser.next()
+                if answer is not None:
+                    return answer
+                self._room.used += self._parser.held - held
+                held = self._parser.held
+                if self._room.full and held > MAX_BODY:  # what is small always fits
+                    raise HttpError("no room for so large an answer")
+        finally:
+            self._room.used -= held
 
 
 class HttpDialer:
     """Opens such connections."""
 
-    def __init__(self, settings: api.Settings, reader: Reader) -> None:
-        self.settings, self._reader = settings, reader
+    def __init__(self, settings: api.Settings, reader: Reader, room: streams.Room) -> None:
+        self.settings, self._reader, self._room = settings, reader, room
 
     async def dial(self, node: api.NodeId, address: Address) -> HttpLink:
         """See ``pool.Dial``."""
         stream = await streams.connect(address, self.settings.connect_timeout)
-        return HttpLink(f"{address[0]}:{address[1]}", stream, self._reader)
+        return HttpLink(f"{address[0]}:{address[1]}", stream, self._reader, self._room)
--- a/sabledyke/net/nvmefront.py
+++ b/sabledyke/net/nvmefront.py
@@ -9,7 +9,7 @@
 from sabledyke import log
 from sabledyke.core import Answer, Verdict
 from sabledyke.net import streams
-from sabledyke.net.front import ASKING, READING, Client, Front, Submit
+from sabledyke.net.front import ASKING, Client, Front, Submit
 from sabledyke.protocol.blocks import Translator
 from sabledyke.protocol.nvme import Command, NvmeError, Target
 
@@ -41,7 +41,7 @@
     def patience(self, idle: float) -> float:
         """See ``Client``; a queue that rests is bounded by its keep-alive time."""
         if self._flushing:
-            return READING
+            return self._front.reading
         return ASKING if self.fresh or self.target.halfway else inf
 
     def departed(self) -> None:
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -12,7 +12,7 @@
 from sabledyke import invariants, log
 from sabledyke.config import Config, ConfigError
 from sabledyke.core import Answer, Core, Ended, Transport, Verdict, Work
-from sabledyke.net import clock
+from sabledyke.net import clock, streams
 from sabledyke.net.front import Door, Front
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
@@ -28,6 +28,7 @@
 
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
 HALF_ASKED = 1.0  # seconds after that for what is half asked to come in whole
+ANSWERS = 0.25  # part of the memory for answers on their way
 SPARE = 64  # descriptors kept for listening, discovery, associations, the log and what Python opens
 
 
@@ -47,7 +48,8 @@
         settings, known = config.settings, config.known
         self.watch = Watch(config.discovery, settings, known.news.version if known else None, self._listed)
         self._reader = Reader(settings)
-        self._http = HttpDialer(settings, self._reader)
+        self._room = streams.Room(0)
+        self._http = HttpDialer(settings, self._reader, self._room)
         self._nvme: NvmeDialer | None = None
         self.pool = Pool(settings, self._report, 0, self._dial)
         transport: Transport = self.pool
@@ -63,11 +65,11 @@
         self.core = Core(settings, config.seed, transport, self.watch, self._wake)
         ids = Ids()
         self.fronts = [Front("HTTP", 0, lambda front, stream: HttpClient(
-            front, stream, self._reader, ids, self._submit, self.core.depart))]  # fmt: skip
+            front, stream, self._reader, ids, self._submit, self.core.depart), self._room)]  # fmt: skip
         self._boxes: dict[api.NodeId, str] = {}
         if operator is not None and (operator.listen or operator.boxes):
             self._set_up_nvme(operator)
-        self._share_out(config.sockets)
+        self._share_out(config)
         self.doors: list[Door] = []
 
     def _set_up_nvme(self, operator: Operator) -> None:
@@ -83,11 +85,14 @@
         self._closers.append(self._nvme.close)
         if operator.listen:
             self.fronts.append(Front("NVMe", operator.connections, lambda front, stream: NvmeClient(
-                front, stream, translator, self._submit, self.core.depart)))  # fmt: skip
-
-    def _share_out(self, sockets: int) -> None:
-        """Bound the connections of clients and to boxes so that all descriptors stay under their limit."""
-        half = (sockets - SPARE) // 2
+                front, stream, translator, self._submit, self.core.depart), self._room))  # fmt: skip
+
+    def _share_out(self, config: Config) -> None:
+        """Bound connections, and answers on their way, so that descriptors and memory suffice."""
+        half = (config.sockets - SPARE) // 2
+        self._room.size = int(config.memory * ANSWERS)
+        for front in self.fronts:  # past its deadline a client has given up
+            front.reading = max(c.deadline for c in config.settings.classes) / 1000 + HALF_ASKED
         nvme = self.operator.connections if self.operator is not None and self.operator.listen else 0
         self.pool.most, self.fronts[0].most = half, half - nvme
 
@@ -135,7 +140,7 @@
         self._http.settings = self.pool.settings = new.settings
         if self._nvme is not None:
             self._nvme.settings = self._translator.settings = new.settings
-        self._share_out(new.sockets)
+        self._share_out(new)
         self.watch.adopt(new.discovery, new.settings)
         where = f"discovery at {new.discovery[0]}:{new.discovery[1]}"
         log.say("reload", f"the new configuration is in force; {where}, {new.sockets} descriptors")
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -27,6 +27,21 @@
     return stream
 
 
+class Room:
+    """Memory for answers on their way, shared by all connections.
+
+    Guards against many large answers at once, or clients that take them in slowly, using up the memory.
+    """
+
+    def __init__(self, size: int) -> None:
+        self.size, self.used = size, 0
+
+    @property
+    def full(self) -> bool:
+        """No more may be taken in."""
+        return self.used > self.size
+
+
 class Inbox:
     """Reads a stream for a link, also while no answer is awaited.
 
@@ -82,4 +97,4 @@
         stream.close()
 
 
-__all__ = ["READ", "IOStream", "Inbox", "StreamClosedError", "abort", "connect", "quiet"]
+__all__ = ["READ", "IOStream", "Inbox", "Room", "StreamClosedError", "abort", "connect", "quiet"]
--- a/sabledyke/protocol/http.py
+++ b/sabledyke/protocol/http.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 MAX_HEAD, MAX_BODY = 16 * 1024, 64 * 1024
+MAX_ANSWER = 1024 * 1024  # bytes in an answer's body: boxes were seen to send 350 KB
 MAX_INPUT = MAX_HEAD + 2 * MAX_BODY  # what may wait unparsed: a head and a body in small chunks
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -39,6 +40,7 @@
 
     def __init__(self, *, responses: bool = False) -> None:
         self._responses = responses
+        self._most = MAX_ANSWER if responses else MAX_BODY
         self._data = bytearray()
         self._message: Message | None = None  # its head is read, its body is not
         self._length = 0  # bytes of body to come, where they do not come in chunks
@@ -49,9 +51,14 @@
     def feed(self, data: bytes) -> None:
         """Take some bytes."""
         self._data += data
-        if len(self._data) > MAX_INPUT:
+        if len(self._data) > MAX_HEAD + 2 * self._most:
             raise HttpError("more input than one message may have")
 
+    @property
+    def held(self) -> int:
+        """Bytes that wait for the rest of their message."""
+        return len(self._data) + (len(self._message.body) if self._message is not None else 0)
+
     @property
     def idle(self) -> bool:
         """Nothing of a message has come in."""
@@ -136,7 +143,7 @@
             if not _DIGITS.fullmatch(length.encode("latin-1")):
                 raise HttpError("malformed content length")
             self._length = int(length)
-            if self._length > MAX_BODY:
+            if self._length > self._most:
                 raise HttpError("body too large")
         elif message.status in (0, 204, 304):
             self._length = 0
@@ -163,7 +170,7 @@
             if not _HEX.fullmatch(digits):
                 raise HttpError("malformed chunk size")
             size = int(digits, 16)
-            if len(message.body) + size > MAX_BODY:
+            if len(message.body) + size > self._most:
                 raise HttpError("body too large")
             if size == 0:
                 self._trailer = 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -67,7 +67,7 @@
         extras = replace(operator.read(text, DEPLOYMENT), listen=("127.0.0.1", 0))
         known = discovery.read(self.discovery.listing(), DEPLOYMENT, cached=True)
         here = ("127.0.0.1", self.discovery.port)
-        self.config = Config("n0", ("127.0.0.1", 0), here, 1, 256, known, DEPLOYMENT)
+        self.config = Config("n0", ("127.0.0.1", 0), here, 1, 256, 1 << 20, known, DEPLOYMENT)
         self.server = Server(self.config, extras, 0.1, self.reread)
         self.server.start()
         self.port, self.nvme_port = (door.port for door in self.server.doors)
@@ -617,3 +617,20 @@
         host.close()
 
     play(story)
+
+
+def test_large_answers_pass_while_there_is_room_for_them() -> None:
+    async def story(rig: Rig) -> None:
+        async def large(_: object) -> bytes | None:
+            return http(200, b"x" * size)
+
+        rig.http.answer = large
+        for n, (size, full, status) in enumerate(
+            ((300_000, False, 200), (1 << 21, False, 503), (300_000, True, 503), (60_000, True, 200))
+        ):
+            rig.server._room.used = rig.server._room.size + 1 if full else 0
+            got, _, body = await ask(rig.port, GET.format(n, n, INFO))
+            assert got == status and (got != 200 or body == b"x" * size)
+        rig.server._room.used = 0
+
+    play(story)
