End connections with their answers where it is crowded, accept a crowd in batches

Printed per connection and second: - From 3 s on, 100 connections a second to each scheduler ask once and stay. Clients may hold a third of the descriptors (128); resting connections held them for 2 s, so requests found none. Answers now end their connection once half of that third is held (front.crowded, httpfront _last()). - n0 for 3 s: 1170 accepts, as many evictions, no message. Door._ready() accepted until none waited, and the crowd came again as soon as it was turned away; each eviction peeked at up to 235 sockets. Now 16 a turn and 4 looks. - The crowd looks at /_health and stays: it counts as silent now and makes room before those who asked.

Clients get two thirds of the descriptors, boxes one: at most 71 to boxes were seen.

--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -16,9 +16,12 @@
 Submit = Callable[[Work, Callable[[Answer], None]], int]
 SWEEP = 0.25  # seconds between looks at who keeps a connection without asking
 ASKING = 2.25  # seconds for the first request after connecting, and for each that has begun
-IDLE, CROWDED = 10.0, 2.0  # seconds that a connection may rest between requests, and once others need places
-ROOMY = 0.25  # part of the places up to which no one is needed
-YOUNG = 0.25  # seconds in which a new connection is spared where room must be made
+IDLE, CROWDED = 10.0, 2.0  # seconds that a connection may rest between requests, and while it is crowded
+ROOMY = 0.5  # part of the connections that clients may hold for requests up to which it is not crowded
+TRIES = 4  # connections that are looked at where room must be made
+BACKLOG = 512  # connections that may wait to be accepted
+BATCH = 16  # connections that are accepted before those that are there have their turn
+YOUNG = 0.05  # seconds in which a new connection is spared where room must be made
 
 
 class Client(ABC):
@@ -26,7 +29,7 @@
 
     def __init__(self, stream: streams.IOStream) -> None:
         self.stream = stream
-        self.fresh = True  # nothing whole was asked yet
+        self.fresh = True  # no read or write was asked yet: it is silent, or looks at health alone
         self.since = asyncio.get_running_loop().time()  # it connected, began to ask, or took its last answer
         self.ended: Callable[[], None] = lambda: None  # what its front does when it ends
 
@@ -70,6 +73,7 @@
         self, name: str, most: int, make: Callable[[Front, streams.IOStream], Client], room: streams.Room
     ) -> None:
         self._name, self.most, self._make, self.room = name, most, make, room
+        self.roomy = inf  # connections up to which it is not crowded
         self.reading = inf  # seconds for a client to take in an answer
         self.leaving = False  # the program ends: answers say so, and connections end with them
         self.closing = False  # nobody new is let in any more
@@ -100,16 +104,18 @@
     def _spare(self) -> Client | None:
         """The connection that can best be done without.
 
-        Guards against clients that connect by the hundred and say nothing driving out those that do ask.
+        Guards against a crowd that connects and says nothing, or looks at health alone, driving out those
+        that do ask: even what they keep open between requests goes after the crowd.
         """
-        now, idle = asyncio.get_running_loop().time(), None
-        for client in self.clients:
-            if client.idle and streams.quiet(client.stream):
-                if client.fresh and now - client.since > YOUNG:
+        before = asyncio.get_running_loop().time() - YOUNG
+        crowd = [c for c in self.clients if c.idle and c.fresh]
+        crowd.sort(key=lambda c: c.since)
+        old = [c for c in crowd if c.since < before]
+        for some in (old, [c for c in self.clients if c.idle and not c.fresh], crowd):
+            for client in some[:TRIES]:  # each look asks the system: few, or a crowd would cost all the time
+                if streams.quiet(client.stream):
                     return client
-                if idle is None or idle.fresh > client.fresh:
-                    idle = client
-        return idle or next((c for c in self.clients if not c.owed), None)  # half asked, for longest
+        return next((c for c in self.clients if not c.owed and not c.idle), None)  # half asked, for longest
 
     def _sweep(self) -> None:
         """Give up who rests for too long, and who begins and does not go on.
@@ -118,13 +124,22 @@
         halfway in a request, those that never read, and those that ask once and stay.
         """
         now = asyncio.get_running_loop().time()
-        idle = IDLE if len(self.clients) <= ROOMY * self.most else CROWDED
+        idle = CROWDED if self.crowded else IDLE
         for client in list(self.clients):
             overdue = now - client.since > client.patience(idle)
             if overdue and (client.owed or streams.quiet(client.stream)):  # unread bytes come first
                 client.give_up()
         self._sweeping = asyncio.get_running_loop().call_later(SWEEP, self._sweep) if self.clients else None
 
+    @property
+    def crowded(self) -> bool:
+        """So many connections that answers end theirs.
+
+        Guards against clients that have no connection left for a request: those who ask once and stay would
+        hold all that they may have.
+        """
+        return len(self.clients) > self.roomy
+
     def touch(self, client: Client) -> None:
         """Note that a connection was used."""
         if client in self.clients:
@@ -154,7 +169,7 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
         self._socket.bind(address)
-        self._socket.listen(512)
+        self._socket.listen(BACKLOG)
         self._accept = accept
         asyncio.get_running_loop().add_reader(self._socket.fileno(), self._ready)
 
@@ -164,7 +179,15 @@
         return int(self._socket.getsockname()[1])
 
     def _ready(self) -> None:
-        while True:
+        self._take_in(BATCH)
+
+    def _take_in(self, most: int) -> None:
+        """Accept what has come up.
+
+        Guards against a crowd that comes again as soon as it is turned away: without a bound, accepting it
+        would never end, and nothing else be done.
+        """
+        for _ in range(most):
             try:
                 sock, address = self._socket.accept()
             except BlockingIOError:
@@ -180,6 +203,6 @@
 
         Guards against requests lost in the backlog: the machine accepted them, so they count as taken.
         """
-        self._ready()
+        self._take_in(2 * BACKLOG)
         asyncio.get_running_loop().remove_reader(self._socket.fileno())
         self._socket.close()
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -82,7 +82,7 @@
         message = self._parser.next()
         if message is None:
             return
-        self._waiting, self.fresh = 0, False
+        self._waiting = 0
         self._front.touch(self)
         if message.target.partition("?")[0] == HEALTH:
             last = self._last(message)
@@ -97,10 +97,11 @@
             if not self.stream.closed():
                 self._write(to_client(answer, close=last), last)
 
+        self.fresh = False
         self._rid = self._submit(work, done)
 
     def _last(self, message: Message) -> bool:
-        return self._front.leaving or not message.keep_alive
+        return self._front.leaving or self._front.crowded or not message.keep_alive
 
     def _write(self, data: bytes, last: bool) -> None:
         self._writing, self.since = True, asyncio.get_running_loop().time()
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -13,7 +13,7 @@
 from sabledyke.config import Config, ConfigError
 from sabledyke.core import Answer, Core, Ended, Transport, Verdict, Work
 from sabledyke.net import clock, streams
-from sabledyke.net.front import Door, Front
+from sabledyke.net.front import ROOMY, Door, Front
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
 from sabledyke.net.pool import Address, Link, Pool
@@ -29,7 +29,8 @@
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
 HALF_ASKED = 1.0  # seconds after that for what is half asked to come in whole
 ANSWERS = 0.25  # part of the memory for answers on their way
-SPARE = 64  # descriptors kept for listening, discovery, associations, the log and what Python opens
+BOXES = 3  # one descriptor in so many is for connections to boxes, the others are for clients
+SPARE = 32  # descriptors kept for listening, discovery, associations, the log and what Python opens
 
 
 class Server:
@@ -89,12 +90,13 @@
 
     def _share_out(self, config: Config) -> None:
         """Bound connections, and answers on their way, so that descriptors and memory suffice."""
-        half = (config.sockets - SPARE) // 2
+        boxes = (config.sockets - SPARE) // BOXES
         self._room.size = int(config.memory * ANSWERS)
         for front in self.fronts:  # past its deadline a client has given up
             front.reading = max(c.deadline for c in config.settings.classes) / 1000 + HALF_ASKED
         nvme = self.operator.connections if self.operator is not None and self.operator.listen else 0
-        self.pool.most, self.fronts[0].most = half, half - nvme
+        self.fronts[0].roomy = ROOMY * config.settings.most_open
+        self.pool.most, self.fronts[0].most = boxes, config.sockets - SPARE - boxes - nvme
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what was taken; SIGHUP has the configuration read again."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -515,42 +515,59 @@
     play(story)
 
 
-def test_who_asks_once_and_stays_is_let_go_where_places_are_few(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_where_it_is_crowded_answers_end_their_connections_and_rests_are_short(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def story(rig: Rig) -> None:
         monkeypatch.setattr(front, "CROWDED", 0.2)
-        writers = []
-        for most, stays in ((100, True), (1, False)):
-            rig.server.fronts[0].most = most
-            reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
-            writers.append(writer)
-            writer.write(b"GET /_health HTTP/1.1\r\n\r\n")
-            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
-            if stays:
-                assert len(rig.server.fronts[0].clients) == 1
-                await asyncio.sleep(3 * front.SWEEP)
-                assert len(rig.server.fronts[0].clients) == 1
-            else:
-                assert await reader.read() == b""
-        for writer in writers:
-            writer.close()
+        http_front = rig.server.fronts[0]
+        stays, one = await asyncio.open_connection("127.0.0.1", rig.port)
+        one.write(GET.format(1, "a", INFO).replace("\n", "\r\n").encode())
+        assert b"connection: close" not in (await stays.readuntil(b"\r\n\r\n")).lower()
+        await asyncio.sleep(3 * front.SWEEP)
+        assert len(http_front.clients) == 1  # it may rest while there is room
+        http_front.roomy = 0
+        status, headers, _ = await ask(rig.port, GET.format(1, "b", INFO))
+        assert (status, headers["connection"]) == (200, "close")
+        assert await stays.read() == b""
+        one.close()
 
     play(story)
 
 
-def test_the_silent_make_room_before_those_that_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_silent_and_the_curious_make_room_before_who_asked(monkeypatch: pytest.MonkeyPatch) -> None:
     async def story(rig: Rig) -> None:
         monkeypatch.setattr(front, "YOUNG", 0.0)
-        rig.server.fronts[0].most = 2
-        asked, asker = await asyncio.open_connection("127.0.0.1", rig.port)
-        silent, mute = await asyncio.open_connection("127.0.0.1", rig.port)
-        asker.write(b"GET /_health HTTP/1.1\r\n\r\n")
-        assert await asked.readuntil(b"\r\n\r\n")
-        assert (await ask(rig.port, "GET /_health HTTP/1.1\n\n"))[0] == 200
-        assert await silent.read() == b"" and not asked.at_eof()
-        asker.write(b"GET /_health HTTP/1.1\r\n\r\n")
+        rig.server.fronts[0].most = 3
+        pairs = [await asyncio.open_connection("127.0.0.1", rig.port) for _ in range(3)]
+        (asked, asker), (silent, _), (curious, looker) = pairs
+        asker.write(GET.format(1, "a", INFO).replace("\n", "\r\n").encode())
         assert await asked.readuntil(b"\r\n\r\n")
-        asker.close()
-        mute.close()
+        looker.write(b"GET /_health HTTP/1.1\r\n\r\n")
+        assert await curious.readuntil(b"\r\n\r\n")
+        for reader in (silent, curious):
+            again = await asyncio.open_connection("127.0.0.1", rig.port)
+            pairs.append(again)
+            assert await reader.read() == b""
+            again[1].write(GET.format(1, id(again), INFO).replace("\n", "\r\n").encode())
+            assert await again[0].readuntil(b"\r\n\r\n")
+        assert not asked.at_eof() and len(rig.server.fronts[0].clients) == 3
+        for _, writer in pairs:
+            writer.close()
+
+    play(story)
+
+
+def test_a_crowd_at_the_door_is_let_in_by_and_by() -> None:
+    async def story(rig: Rig) -> None:
+        door, clients = rig.server.doors[0], rig.server.fronts[0].clients
+        crowd = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(2 * front.BATCH + 1)]
+        door._ready()
+        assert len(clients) == front.BATCH
+        while len(clients) < len(crowd):
+            await asyncio.sleep(0)
+        for sock in crowd:
+            sock.close()
 
     play(story)
 
