--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -127,6 +127,7 @@
     meter_period: float
     report_fields: tuple[str, ...]
     kinds: tuple[str, ...] = ()
+    drain_grace: float = 0.0  # a node told to drain may be sent work for so long
     most_open: float = inf  # requests that clients can have open here at a time
     connect_timeout: float = 250.0  # a connection not up by then has failed
     idle_timeout: float = 15000.0  # nodes close connections idle for this long
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -30,6 +30,7 @@
 SILENCE, TRIALS = 2.0, 4 / 3  # shortest aims without a sign of life; trials then back off up to so many
 LUCK = 0.5  # part of a young node's safe units that all hosts together aim at
 CROWDED = 0.7  # part of the places for open requests above which the least worth is not held
+PARTING = 0.5  # part of the time in which a draining node may be sent work that is made use of
 TIDY = 10000.0  # ms between looks at what can be forgotten, which has rested for as long
 TICK = 10.0  # ms between looks at what is held or out
 WATCH_AGAIN = 500.0, 8000.0  # ms: first and longest wait before the list is watched anew
@@ -115,18 +116,30 @@
                     fresh.held, node.held = node.held, []
                 self.nodes[entry.node], self.active[fresh] = fresh, None
             else:
+                if entry.state is not node.entry.state:
+                    node.leaves = self.now if entry.state is api.NodeState.DRAINING else -inf
                 node.entry = entry
-        self.ready, seen = {-1: []}, {e.node for e in news.entries}
+        self.ready, self.leaving, seen = {-1: []}, {}, {e.node for e in news.entries}
         for node in self.nodes.values():
             if news.kind is not api.ListKind.DELTA and node.entry.node not in seen:
                 node.entry = replace(node.entry, state=api.NodeState.GONE)
             if node.entry.state is not api.NodeState.READY:
                 self.limbo += node.held
                 node.held = []
+                self.leaving.setdefault(node.entry.shard, []).append(node)
             else:
                 self.ready[-1].append(node)
                 self.ready.setdefault(node.entry.shard, []).append(node)
 
+    def still_takes(self, node: Node) -> bool:
+        """Rule 3: may a draining node be sent what no other can serve? Well inside the time allowed.
+
+        Guards against a shard without service from the news that its box drains until that of the next box:
+        a draining box was seen to serve on. Once it turns work away, or breaks it off, it is left.
+        """
+        draining = node.entry.state is api.NodeState.DRAINING
+        return draining and self.now < node.leaves + PARTING * self.s.drain_grace
+
     def make(self, entry: api.NodeEntry) -> Node:
         window = max(1.0, WINDOW_START / self.s.hosts) * self.mean
         like = self.kinds.setdefault(entry.kind, Pace(window, self.aim / 4, START * self.mean))
@@ -210,7 +223,11 @@
 
     def place(self, job: Job) -> None:
         """Give a job without a node the best one that can serve it, or keep it while one may still come."""
-        ready = [n for n in self.ready.get(job.ask.shard, ()) if self.may_repeat(job, n)]
+        shard = job.ask.shard
+        ready = [n for n in self.ready.get(shard, ()) if self.may_repeat(job, n)]
+        if not ready:
+            leaving = filter(self.still_takes, self.leaving.get(shard, ()))
+            ready = [n for n in leaving if self.may_repeat(job, n)]
         if not ready:
             wait = self.now + 2 * TICK < job.soon and not self.spent(job)
             return self.limbo.append(job) if wait else self.refuse(job)
@@ -322,6 +339,9 @@
         """Send held requests by due time while there is room; of what can't be met, shed the least worth."""
         self.roll(node)
         self.look_after(node)
+        if node.entry.state is not api.NodeState.READY and not self.still_takes(node):
+            self.limbo += node.held
+            node.held = []
         now, blocked, ahead, kept = self.now, -inf, 0.0, list[Job]()
         held, node.held = sorted((j for j in node.held if not j.over), key=lambda j: j.due), []
         for job in held:
@@ -409,6 +429,8 @@
         sent_at, units = node.flying.pop((got.id, got.attempt), (self.now, 0.0))
         node.inflight -= units
         self.roll(node)
+        if how in (Outcome.REJECTED, Outcome.NO_CONNECTION, Outcome.RESET):
+            node.leaves = -inf
         if how in LINGERS and job.kind.ordered and job.ask.key:
             self.rests[job.ask.key] = self.now + self.s.order_rest
         if how in LINGERS or how is Outcome.ERROR:
--- a/sabledyke/settings.py
+++ b/sabledyke/settings.py
@@ -109,6 +109,7 @@
         meter_period=num("family_info.meter_period", 0.0),
         report_fields=words("telemetry.fields"),
         kinds=words("kinds"),
+        drain_grace=num("invariants.stop_sending_within", 0.0),
         most_open=num("ceilings.open_cap", inf),
         connect_timeout=num("ceilings.connect_timeout", 250.0),
         idle_timeout=num("ceilings.conn_idle", 15000.0),
--- a/sabledyke/state.py
+++ b/sabledyke/state.py
@@ -79,6 +79,7 @@
     eased: float = -inf  # when the window last shrank
     dark: float = inf  # since when it gives no sign of life
     trial: float = -inf  # next time a dark node may be tried
+    leaves: float = -inf  # when it was told to drain, while it still serves
 
 
 class Records:
@@ -87,6 +88,7 @@
     def __init__(self) -> None:
         self.nodes: dict[NodeId, Node] = {}
         self.ready: dict[int, list[Node]] = {}  # by shard; all of them under -1
+        self.leaving: dict[int, list[Node]] = {}  # by shard: those that are not ready
         self.active: dict[Node, None] = {}  # nodes with requests held or out
         self.kinds: dict[int, Pace] = {}  # what the nodes of a kind show lately
         self.jobs: dict[int, Job] = {}
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sabledyke import interface as api
 from sabledyke import rules
 from sabledyke.interface import Outcome
@@ -230,3 +232,32 @@
     rig.end(rig.ask(plan=0))
     rid = rig.ask(plan=1)
     assert rig.scheduler.jobs[rid].reserved
+
+
+@pytest.mark.parametrize("how", [Outcome.OK, Outcome.REJECTED])
+def test_a_draining_box_serves_its_shard_until_another_does_or_it_turns_work_away(how: Outcome) -> None:
+    rig = Rig(drain_grace=2000)
+    drains = listing(node(1, state=api.NodeState.DRAINING), kind=api.ListKind.DELTA)
+    rig.do(drains)
+    first = rig.ask()
+    assert rig.sends(first) == 1 and rig.sends(rig.ask(shard=-1)) == 0  # what may go anywhere waits
+    rig.end(first, how)
+    rig.wait(50)
+    assert rig.sends(rig.ask()) == (how is Outcome.OK)
+    rig.wait(rules.PARTING * 2000)
+    rig.do(drains)  # told again: that does not lengthen it
+    late = rig.ask()
+    assert rig.sends(late) == 0
+    rig.do(listing(node(1), kind=api.ListKind.DELTA))
+    assert rig.sends(late) == 1
+
+
+def test_what_is_held_at_a_draining_box_is_not_sent_past_its_time() -> None:
+    rig = Rig(drain_grace=200)
+    rig.do(listing(node(1, state=api.NodeState.DRAINING), kind=api.ListKind.DELTA))
+    rig.scheduler.nodes[node(1).node].window = 2.0
+    first, held = rig.ask(), rig.ask(class_=1)
+    assert (rig.sends(first), rig.sends(held)) == (1, 0)
+    rig.wait(rules.PARTING * 200 + 1)
+    rig.end(first)
+    assert rig.sends(held) == 0
