--- a/sabledyke/net/watch.py
+++ b/sabledyke/net/watch.py
@@ -12,7 +12,8 @@
 from sabledyke.protocol.http import HttpError, Message, Parser, encode_request
 
 # How long a call may wait for news, and longer for its answer: a list counts as told 2 s after the wait ends.
-WAIT_MS, SPARE_MS = 20_000, 1_500
+# Short, against a watch that falls silent: until its time is over, no news of boxes comes.
+WAIT_MS, SPARE_MS = 2_000, 1_000
 
 
 class Watch:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from sabledyke import invariants, operator
 from sabledyke.config import Config
 from sabledyke.core import Ended
-from sabledyke.net import front, httpfront, nvmefront, streams
+from sabledyke.net import front, httpfront, nvmefront, streams, watch
 from sabledyke.net.nvmefront import NvmeClient
 from sabledyke.net.server import Server
 from sabledyke.protocol import discovery
@@ -651,3 +651,18 @@
         rig.server._room.used = 0
 
     play(story)
+
+
+def test_a_watch_that_falls_silent_is_begun_anew_before_its_news_counts_as_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert watch.WAIT_MS + watch.SPARE_MS <= 3000  # news is no older than this, 2 s after the wait it is told
+
+    async def story(rig: Rig) -> None:
+        monkeypatch.setattr(watch, "WAIT_MS", 20)
+        monkeypatch.setattr(watch, "SPARE_MS", 20)
+        while len(rig.discovery.calls) < 3:  # the stand-in answers the first, and then no more
+            await asyncio.sleep(0.01)
+        assert "since=1&timeout_ms=20 " in rig.discovery.calls[-1]
+
+    play(story)
