Rebuild the store as a package: group commit, stalls that end, PostgreSQL beside SQLite

It entered the server in three places, and a reload knew each optional part by hand.

An intent is durable before its first send, a served answer's entry before it is passed on; what waits goes in one transaction; a stall gives up at once all that waits. Every start takes a higher life, and a CHECK in the database gives up an older one's transaction. A listed box may be a database. Optional parts now have one set of doors (net/parts.py), which NVMe uses as well.

--- a/sabledyke/__main__.py
+++ b/sabledyke/__main__.py
@@ -3,16 +3,28 @@
 Usage:
   sabledyke [serve] [--operator FILE]
   sabledyke check-config [--operator FILE]
+  sabledyke store (check | migrate | audit | reconcile) --operator FILE
+  sabledyke store (backup | restore) FILE --operator FILE
+  sabledyke store export FILE [--since MS] --operator FILE
   sabledyke version
   sabledyke (-h | --help)
 
 Commands:
   serve         Serve until SIGTERM; the default.
   check-config  Read the configuration, say what it holds, and end.
+  store         Work on the record that the operator's file names:
+    check         Can it be opened, is it sound, what does it hold.
+    migrate       Bring its schema up to date, in place.
+    audit         Walk the journal's chains; a changed or missing entry is named.
+    reconcile     Compare journal, record of sends and what boxes showed.
+    backup        Copy it, also in service, into a new SQLite file.
+    restore       Fill an empty record from a backup, once that passes its checks.
+    export        The journal as JSON lines, to a new file or - for standard output.
   version       Print the version.
 
 Options:
   --operator FILE  What is off on the platform: NVMe over TCP and the store of record (TOML).
+  --since MS       Only entries from then on, in Unix milliseconds.
   -h --help        This text.
 
 The environment says what to serve: GW_CONFIG names the JSON file of settings; GW_NAME, GW_LISTEN and
@@ -60,6 +72,10 @@
         said = docopt(__doc__, arguments)
         command = next((c for c in ("check-config", "version") if said[c]), "serve")
         path = said["--operator"]
+        if said["store"]:
+            from sabledyke.cli import store
+
+            return store.main(said)
     if command == "version":
         print(f"sabledyke {VERSION}")
         return 0
--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -18,6 +18,7 @@
 from sabledyke import log
 from sabledyke.interface import Outcome
 from sabledyke.invariants import check
+from sabledyke.repeats import may_repeat
 from sabledyke.rules import Scheduler
 
 # The client must have its answer inside its deadline, which it counts from when it sent: the core answers
@@ -54,6 +55,7 @@
     body: bytes = b""
     length: int = 0  # bytes a read wants, where the front's wire says so
     ran: tuple[float, api.NodeEntry] | None = None  # a former life sent it then, there
+    sent_to: api.NodeEntry | None = None  # where its last attempt went
 
 
 @dataclass(slots=True, frozen=True)
@@ -75,6 +77,7 @@
     used_percent: int = 0
     others_units: int = 0
     load: tuple[float, ...] = ()
+    waited: float = 0.0  # ms for which it was held back here: no time of the box's
 
 
 class Transport(Protocol):
@@ -172,7 +175,7 @@
         if end.outcome is Outcome.OK and not request.answered:
             self._answer(rid, Answer(Verdict.SERVED, end.body))
         self._event(api.Attempted(
-            rid, node.node, number, end.outcome, request.answered, now - sent, end.used_percent,
+            rid, node.node, number, end.outcome, request.answered, now - sent - end.waited, end.used_percent,
             end.others_units, end.load,
         ))  # fmt: skip
         self._forget(rid)
@@ -265,7 +268,7 @@
         assert entry is not None
         beyond = entry.state is api.NodeState.GONE
         beyond |= not check(self._may_run(now, request, entry), "no repeat beyond its key", f"request {rid}")
-        request.out[number] = now, entry
+        request.out[number], request.work.sent_to = (now, entry), entry
         if beyond or number >= self.settings.max_attempts or left <= 0:
             self.ended(now, rid, number, Ended(Outcome.MOOT, False))
             return
@@ -273,16 +276,12 @@
 
     def _may_run(self, now: float, request: _Open, here: api.NodeEntry) -> bool:
         """Rule 2, seen from here: a write is never sent again where and when its key does not hold."""
-        kind = self.settings.classes[request.work.class_]
         sent = [request.ran] if request.ran else list(request.out.values())
-        if kind.repeat is api.Repeat.IDEMPOTENT or not sent:
+        if not sent:
             return True
         at, first = min(sent, key=lambda s: s[0])
-        if kind.repeat is api.Repeat.AT_MOST_ONCE or now >= at + kind.repeat_window:
-            return False
-        if kind.group is api.Group.CELL:
-            return here.shard == first.shard
-        return kind.group is api.Group.ALL or here.zone == first.zone
+        kind = self.settings.classes[request.work.class_]
+        return may_repeat(kind, at, (first.shard, first.zone), now, (here.shard, here.zone))
 
     def _finish(self, rid: int, answer: Answer) -> None:
         if rid in self._open and not self._open[rid].answered:
--- a/sabledyke/net/httplink.py
+++ b/sabledyke/net/httplink.py
@@ -12,11 +12,11 @@
 from sabledyke.protocol.http import MAX_BODY, HttpError, Message, Parser
 
 
-class HttpLink:
+class HttpLink(streams.StreamLink):
     """See ``pool.Link``."""
 
     def __init__(self, host: str, stream: streams.IOStream, reader: Reader, room: streams.Room) -> None:
-        self.stream, self.inbox = stream, streams.Inbox(stream)
+        super().__init__(stream)
         self._host, self._reader, self._room = host, reader, room
         self._parser = Parser(responses=True)
         self._written: asyncio.Future[None] | None = None
--- a/sabledyke/net/nvmelink.py
+++ b/sabledyke/net/nvmelink.py
@@ -65,12 +65,12 @@
         return done.result
 
 
-class NvmeLink:
+class NvmeLink(streams.StreamLink):
     """See ``pool.Link``: an I/O queue."""
 
     def __init__(self, channel: _Channel, translator: Translator) -> None:
+        super().__init__(channel.stream, channel.inbox)
         self._channel, self._translator = channel, translator
-        self.stream, self.inbox = channel.stream, channel.inbox
         self.reusable = True
         self._work: Work | None = None
 
--- /dev/null
+++ b/sabledyke/net/parts.py
@@ -0,0 +1,74 @@
+"""The doors of an optional part: what the server calls, so that it knows each part by one name only.
+
+A part is set up by its own package from its own section of the operator's file (``set_up``), is loaded only
+when that section is there, and overrides the doors it needs. Transports stack in the order in which
+``server.PARTS`` names their parts: the first is next to the core, the last next to the pool.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sabledyke import interface as api
+from sabledyke.core import Answer, Transport, Work
+from sabledyke.net.pool import Dial, Report
+
+if TYPE_CHECKING:
+    from sabledyke.config import Config
+    from sabledyke.net import streams
+    from sabledyke.net.front import Front
+
+Done = Callable[[Answer], None]
+Submit = Callable[[Work, Done], int]
+
+
+@dataclass(slots=True)
+class Host:
+    """What a part may use of the server that it is set up in."""
+
+    config: Config
+    room: streams.Room
+    entry: Callable[[api.NodeId], api.NodeEntry]  # a listed box
+    submit: Submit  # the way to the core, through all parts
+    depart: Callable[[int], None]  # the client of a request is gone
+
+
+class Part:
+    """An optional part; every door does nothing unless it is overridden."""
+
+    def reports(self, onward: Report) -> Report:
+        """What a transport of this part reports to, given what is above it."""
+        return onward
+
+    def transport(self, inner: Transport) -> Transport:
+        """The transport of this part round another."""
+        return inner
+
+    def dialers(self) -> dict[api.NodeId, Dial]:
+        """For which boxes this part opens the connections."""
+        return {}
+
+    def fronts(self) -> Sequence[tuple[Front, tuple[str, int]]]:
+        """Fronts that it adds, and where each listens."""
+        return ()
+
+    def submit(self, work: Work, done: Done, onward: Submit) -> int:
+        """A front hands in work, on its way to the core."""
+        return onward(work, done)
+
+    def departed(self, rid: int) -> None:
+        """The client of a request is gone; the core has not been told yet."""
+
+    async def open(self) -> None:
+        """Before any door opens; a ConfigError ends the start in one plain line."""
+
+    def adopt(self, config: Config) -> None:
+        """A new configuration is in force."""
+
+    def listed(self, gone: Iterable[api.NodeId]) -> None:
+        """These boxes are gone from the list."""
+
+    async def close(self) -> None:
+        """All that was taken is answered: the program ends."""
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -24,8 +24,9 @@
 class Link(Protocol):
     """An open connection to a box."""
 
-    stream: streams.IOStream
-    inbox: streams.Inbox
+    @property
+    def closed(self) -> bool:
+        """It is of no more use."""
 
     @property
     def may_have_run(self) -> bool:
@@ -38,6 +39,16 @@
     async def exchange(self, work: Work, timeout: float) -> Ended:
         """One attempt; a StreamClosedError or BadPeer where it breaks."""
 
+    def rest(self, heard: Callable[[], None]) -> None:
+        """Nothing is asked for now; ``heard`` is called when its peer ends it or says something all the
+        same."""
+
+    def wake(self) -> bool:
+        """An exchange is to come; whether the link is fit for it."""
+
+    def close(self) -> None:
+        """End it, whatever is under way on it."""
+
 
 Dial = Callable[[api.NodeId, Address], Awaitable[Link]]
 
@@ -96,7 +107,7 @@
         """See ``core.Transport``."""
         flight = self._flights.get((rid, number))
         if flight is not None:
-            self._end(flight, Ended(Outcome.CANCELLED, flight.may_have_run))
+            self._end(flight, Ended(Outcome.CANCELLED, _given_up(flight)))
 
     def close_idle(self, node: api.NodeId) -> None:
         """See ``core.Transport``."""
@@ -156,13 +167,13 @@
         return None
 
     def _keep(self, slot: _Slot) -> None:
-        if slot.link.stream.closed() or self._addresses.get(slot.node) != slot.address:
+        if slot.link.closed or self._addresses.get(slot.node) != slot.address:
             self._discard(slot)
             return
         self._idle.setdefault(slot.node, []).append(slot)
         after = self.settings.idle_timeout * IDLE_PART / 1000
         slot.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, slot)
-        slot.link.inbox.rest(lambda: self._drop_idle(slot))
+        slot.link.rest(lambda: self._drop_idle(slot))
 
     def _take(self, slot: _Slot) -> bool:
         """Out of the idle ones; whether it can be used."""
@@ -171,7 +182,7 @@
             del self._idle[slot.node]
         if slot.expiry is not None:
             slot.expiry.cancel()
-        return slot.link.inbox.wake()
+        return slot.link.wake()
 
     def _drop_idle(self, slot: _Slot) -> None:
         if slot in self._idle.get(slot.node, ()):
@@ -179,11 +190,11 @@
             self._discard(slot)
 
     def _discard(self, slot: _Slot) -> None:
-        streams.abort(slot.link.stream)
+        slot.link.close()
         self._slots -= 1
 
     def _expire(self, flight: _Flight) -> None:
-        ran = flight.may_have_run
+        ran = _given_up(flight)
         self._end(flight, Ended(Outcome.TIMEOUT if ran else Outcome.NO_CONNECTION, ran))
 
     def _end(self, flight: _Flight, ended: Ended) -> None:
@@ -196,3 +207,10 @@
         if slot is not None:
             self._discard(slot)
         self._report(flight.rid, flight.number, ended)
+
+
+def _given_up(flight: _Flight) -> bool:
+    """Close what an attempt holds; only then can be said for good whether it may have run."""
+    if flight.slot is not None:
+        flight.slot.link.close()
+    return flight.may_have_run
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import gc
+import importlib
 import signal
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -11,20 +13,27 @@
 from sabledyke import interface as api
 from sabledyke import invariants, log
 from sabledyke.config import Config, ConfigError
-from sabledyke.core import Answer, Core, Ended, Transport, Verdict, Work
+from sabledyke.core import Core, Ended, Transport, Work
 from sabledyke.net import clock, streams
 from sabledyke.net.front import ROOMY, Door, Front
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
-from sabledyke.net.pool import Address, Link, Pool
+from sabledyke.net.parts import Done, Host, Part, Submit
+from sabledyke.net.pool import Address, Dial, Link, Pool, Report
 from sabledyke.net.watch import Watch
 from sabledyke.protocol.discovery import Listing
 from sabledyke.protocol.gateway import Ids, Reader
 
-if TYPE_CHECKING:  # loaded only where they are switched on: a plain start must be quick
-    from sabledyke.net.nvmelink import NvmeDialer
+if TYPE_CHECKING:  # loaded only where it is named: a plain start must be quick
     from sabledyke.operator import Operator
-    from sabledyke.store import Store
+
+# Optional parts, the nearest to the core first: where each is set up, and whether the file asks for it. Each
+# is loaded only then.
+PARTS: tuple[tuple[str, str, Callable[[Operator], object]], ...] = (
+    ("sabledyke.store.part", "set_up", lambda o: o.store),
+    ("sabledyke.store.part", "set_up_boxes", lambda o: o.store),
+    ("sabledyke.net.nvmepart", "set_up", lambda o: o.listen or o.boxes),
+)
 
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
 HALF_ASKED = 1.0  # seconds after that for what is half asked to come in whole
@@ -45,48 +54,46 @@
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._stop = asyncio.Event()
-        self._closers: list[Callable[[], None]] = []
         settings, known = config.settings, config.known
         self.watch = Watch(config.discovery, settings, known.news.version if known else None, self._listed)
         self._reader = Reader(settings)
         self._room = streams.Room(0)
         self._http = HttpDialer(settings, self._reader, self._room)
-        self._nvme: NvmeDialer | None = None
-        self.pool = Pool(settings, self._report, 0, self._dial)
+        self.parts = self._set_up_parts(operator)
+        self._dialers: dict[api.NodeId, Dial] = {}
+        report: Report = self._ended
+        self._submit: Submit = self._take
+        for part in self.parts:
+            report = part.reports(report)
+            self._dialers.update(part.dialers())
+        for part in reversed(self.parts):
+            self._submit = functools.partial(_through, part, self._submit)
+        self.pool = Pool(settings, report, 0, self._dial)
         transport: Transport = self.pool
-        self._store: Store | None = None
-        if operator is not None and operator.store:
-            from sabledyke.net.recorded import Recorded
-            from sabledyke.store import Store
-
-            self._store = Store(operator.store)
-            self._recorded = Recorded(self._store, lambda node: self.core.nodes[node], self._ended)
-            self._recorded.inner = self.pool
-            transport = self._recorded
+        for part in reversed(self.parts):
+            transport = part.transport(transport)
         self.core = Core(settings, config.seed, transport, self.watch, self._wake)
         ids = Ids()
-        self.fronts = [Front("HTTP", 0, lambda front, stream: HttpClient(
-            front, stream, self._reader, ids, self._submit, self.core.depart), self._room)]  # fmt: skip
-        self._boxes: dict[api.NodeId, str] = {}
-        if operator is not None and (operator.listen or operator.boxes):
-            self._set_up_nvme(operator)
+        http = Front("HTTP", 0, lambda front, stream: HttpClient(
+            front, stream, self._reader, ids, self._submit, self._depart), self._room)  # fmt: skip
+        more = [front for part in self.parts for front in part.fronts()]
+        self.fronts = [http, *(front for front, _ in more)]
+        self._listens = [config.listen, *(listen for _, listen in more)]
         self._share_out(config)
         self.doors: list[Door] = []
 
-    def _set_up_nvme(self, operator: Operator) -> None:
-        from sabledyke.net.nvmefront import NvmeClient
-        from sabledyke.net.nvmelink import NvmeDialer
-        from sabledyke.protocol.blocks import Translator
-
-        settings = self.config.settings
-        self._boxes.update(operator.boxes)
-        translator = Translator(settings, operator.nqn, operator.volumes)
-        self._translator = translator
-        self._nvme = NvmeDialer(settings, translator, self._boxes, operator.host_nqn)
-        self._closers.append(self._nvme.close)
-        if operator.listen:
-            self.fronts.append(Front("NVMe", operator.connections, lambda front, stream: NvmeClient(
-                front, stream, translator, self._submit, self.core.depart), self._room))  # fmt: skip
+    def _set_up_parts(self, operator: Operator | None) -> list[Part]:
+        if operator is None:
+            return []
+        host = Host(
+            self.config, self._room, lambda node: self.core.nodes[node],
+            lambda work, done: self._submit(work, done), self._depart,
+        )  # fmt: skip
+        made = [
+            getattr(importlib.import_module(module), name)(host, operator)
+            for module, name, asked in PARTS if asked(operator)
+        ]  # fmt: skip
+        return [part for part in made if part is not None]
 
     def _share_out(self, config: Config) -> None:
         """Bound connections, and answers on their way, so that descriptors and memory suffice."""
@@ -94,30 +101,32 @@
         self._room.size = int(config.memory * ANSWERS)
         for front in self.fronts:  # past its deadline a client has given up
             front.reading = max(c.deadline for c in config.settings.classes) / 1000 + HALF_ASKED
-        nvme = self.operator.connections if self.operator is not None and self.operator.listen else 0
+        others = sum(front.most for front in self.fronts[1:])
         self.fronts[0].roomy = ROOMY * config.settings.most_open
-        self.pool.most, self.fronts[0].most = boxes, config.sockets - SPARE - boxes - nvme
+        self.pool.most, self.fronts[0].most = boxes, config.sockets - SPARE - boxes - others
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what was taken; SIGHUP has the configuration read again."""
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.leave)
+        await self.open()
         self.start()
         gc.collect()
         gc.freeze()  # guards against long collections of what stays for good
         await self._stop.wait()
         await self.finish()
 
+    async def open(self) -> None:
+        """Get the optional parts ready; a ConfigError where one cannot be."""
+        for part in self.parts:
+            await part.open()
+
     def start(self) -> None:
         """Open the doors; what is known of the boxes is told first."""
-        if self._store is not None:
-            self._forget()
         self._listed(self.config.known or Listing(api.NodeList(api.ListKind.CACHED, 0, ()), {}))
         self._turn()
-        listens = [self.config.listen, self.operator.listen if self.operator else None]
-        for front, listen in zip(self.fronts, listens, strict=False):
-            assert listen is not None
+        for front, listen in zip(self.fronts, self._listens, strict=True):
             self.doors.append(Door(listen, front.accept))
             log.say("start", f"{self.config.name} serves at {listen[0]}:{self.doors[-1].port}")
 
@@ -140,8 +149,8 @@
         self.core.adopt(new.settings)
         self._reader.adopt(new.settings)
         self._http.settings = self.pool.settings = new.settings
-        if self._nvme is not None:
-            self._nvme.settings = self._translator.settings = new.settings
+        for part in self.parts:
+            part.adopt(new)
         self._share_out(new)
         self.watch.adopt(new.discovery, new.settings)
         where = f"discovery at {new.discovery[0]}:{new.discovery[1]}"
@@ -173,42 +182,24 @@
             await asyncio.sleep(0.01)
         self.watch.watch(False)
         self.pool.close()
-        for close in self._closers:
-            close()
-        if self._store is not None:
-            self._store.close()
+        for part in self.parts:
+            await part.close()
         if self._timer is not None:
             self._timer.cancel()
         broken = ", ".join(f"{name}: {n}" for name, n in invariants.broken.items()) or "none"
         log.say("stop", f"{self.config.name} has answered all it took; invariants broken: {broken}")
 
     async def _dial(self, node: api.NodeId, address: Address) -> Link:
-        if self._nvme is not None and node in self._boxes:
-            return await self._nvme.dial(node, address)
-        return await self._http.dial(node, address)
-
-    def _submit(self, work: Work, done: Callable[[Answer], None]) -> int:
-        """Every front's way to the core; what a former life sent of a keyed write goes along."""
-        if self._store is not None:
-            from sabledyke import store
-
-            name = store.name(work)
-            if name and self._store.failed:
-                advice = self.config.settings.max_retry_after
-                self._loop.call_soon(done, Answer(Verdict.REFUSED, retry_after=advice))
-                return 0
-            earlier = self._store.earlier(name) if name else None
-            if earlier is not None:
-                work.ran = earlier.at, api.NodeEntry(
-                    b"", earlier.shard, earlier.zone, -1, 0.0, 1.0, api.NodeState.GONE
-                )
+        return await self._dialers.get(node, self._http.dial)(node, address)
+
+    def _take(self, work: Work, done: Done) -> int:
+        """The last step of every front's way to the core."""
         return self.core.submit(clock.now(), work, done)
 
-    def _forget(self) -> None:
-        """Once a minute: what was recorded so long ago that nobody repeats it."""
-        if self._store is not None and not self._stop.is_set():
-            self._store.forget(clock.now())
-            self._loop.call_later(60, self._forget)
+    def _depart(self, rid: int) -> None:
+        for part in self.parts:
+            part.departed(rid)
+        self.core.depart(rid)
 
     def _listed(self, listing: Listing | None) -> None:
         if listing is None:
@@ -216,15 +207,8 @@
         else:
             gone = self.core.listed(listing.news)
             self.pool.learn(listing.dials, gone)
-            if self._nvme is not None:
-                for node in gone:
-                    self._nvme.forget(node)
-
-    def _report(self, rid: int, number: int, ended: Ended) -> None:
-        if self._store is not None:
-            self._recorded.ended(rid, number, ended)
-        else:
-            self._ended(rid, number, ended)
+            for part in self.parts:
+                part.listed(gone)
 
     def _ended(self, rid: int, number: int, ended: Ended) -> None:
         self.core.ended(clock.now(), rid, number, ended)
@@ -245,6 +229,10 @@
         self._timer = None if due is None else self._loop.call_later(max(0.0, due - now) / 1000, self._turn)
 
 
+def _through(part: Part, onward: Submit, work: Work, done: Done) -> int:
+    return part.submit(work, done, onward)
+
+
 def _check_like(old: api.Settings, new: api.Settings) -> None:
     """What open requests and the module's knowledge are counted by must keep its names and places."""
     for what in ("classes", "plans", "zones", "kinds"):
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -74,6 +74,30 @@
         return self._ahead is not None and not self._ahead.done() and quiet(self._stream)
 
 
+class StreamLink:
+    """What links that stand on one stream have in common; see ``pool.Link``."""
+
+    def __init__(self, stream: IOStream, inbox: Inbox | None = None) -> None:
+        self.stream, self.inbox = stream, inbox or Inbox(stream)
+
+    @property
+    def closed(self) -> bool:
+        """See ``pool.Link``."""
+        return bool(self.stream.closed())
+
+    def close(self) -> None:
+        """See ``pool.Link``."""
+        abort(self.stream)
+
+    def rest(self, heard: Callable[[], None]) -> None:
+        """See ``pool.Link``."""
+        self.inbox.rest(heard)
+
+    def wake(self) -> bool:
+        """See ``pool.Link``."""
+        return self.inbox.wake()
+
+
 def quiet(stream: IOStream) -> bool:
     """Open, and the peer has neither said nor ended anything that was not read yet.
 
@@ -97,4 +121,6 @@
         stream.close()
 
 
-__all__ = ["READ", "IOStream", "Inbox", "Room", "StreamClosedError", "abort", "connect", "quiet"]
+__all__ = [
+    "READ", "IOStream", "Inbox", "Room", "StreamClosedError", "StreamLink", "abort", "connect", "quiet",
+]  # fmt: skip
--- a/sabledyke/operator.py
+++ b/sabledyke/operator.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
+import os
 import tomllib
 from dataclasses import dataclass
-from math import inf
 from pathlib import Path
-from typing import Any
 
 from sabledyke import interface as api
-from sabledyke.config import ConfigError
 from sabledyke.protocol.blocks import MAX_DATA, Volume
 from sabledyke.protocol.discovery import ListError, address
 from sabledyke.protocol.nvme import BLOCK
-
-
-class OperatorError(ConfigError):
-    """The file cannot be used; the text is the one line that says why."""
+from sabledyke.store import section
+from sabledyke.store.section import Section
+from sabledyke.tables import OperatorError, Table
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,46 +26,7 @@
     host_nqn: str = ""
     volumes: tuple[Volume, ...] = ()
     boxes: tuple[tuple[api.NodeId, str], ...] = ()  # nodes that speak NVMe, and their subsystems
-    store: str = ""
-
-
-class _Table:
-    """A table of the file, read key by key; what it does not know is an error, not silence."""
-
-    def __init__(self, data: object, where: str) -> None:
-        if not isinstance(data, dict):
-            raise OperatorError(f"{where} is no table")
-        self._data, self._where = dict(data), where
-
-    def take(self, key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
-        value = self._data.pop(key, default)
-        if value is None:
-            raise OperatorError(f"{self._where}.{key} is missing")
-        if not isinstance(value, kind) or isinstance(value, bool):
-            raise OperatorError(f"{self._where}.{key} is of the wrong kind: {value!r}")
-        return value
-
-    def whole(self, key: str, low: int, high: int, default: int | None = None) -> int:
-        value = self.take(key, int, default)
-        if not low <= value <= high:
-            raise OperatorError(f"{self._where}.{key} must be from {low} to {high}, not {value}")
-        return int(value)
-
-    def milliseconds(self, key: str, default: float) -> float:
-        value = float(self.take(key, (int, float), default))
-        if not 0 < value < inf:
-            raise OperatorError(f"{self._where}.{key} must be above 0, not {value}")
-        return value
-
-    def name(self, key: str, names: list[str]) -> int:
-        value = self.take(key, str)
-        if value not in names:
-            raise OperatorError(f"{self._where}.{key} must be one of {', '.join(names)}, not {value!r}")
-        return names.index(value)
-
-    def end(self) -> None:
-        if self._data:
-            raise OperatorError(f"{self._where}.{min(self._data)} is not known")
+    store: Section | None = None
 
 
 def load(path: str, settings: api.Settings) -> Operator:
@@ -83,15 +41,15 @@
 
 def read(text: str, settings: api.Settings) -> Operator:
     """The text of such a file."""
-    whole = _Table(tomllib.loads(text), "file")
-    nvme = _Table(whole.take("nvme", dict, {}), "nvme")
-    store = _Table(whole.take("store", dict, {}), "store")
+    whole = Table(tomllib.loads(text), "file")
+    nvme = Table(whole.take("nvme", dict, {}), "nvme")
+    store = section.read(Table(whole.take("store", dict, {}), "store"), os.environ)
     whole.end()
     listen = nvme.take("listen", str, "")
     volumes = tuple(_volume(v, i, settings) for i, v in enumerate(nvme.take("volume", list, [])))
     boxes = []
     for i, data in enumerate(nvme.take("box", list, [])):
-        box = _Table(data, f"nvme.box[{i}]")
+        box = Table(data, f"nvme.box[{i}]")
         boxes.append((box.take("host", str).encode(), box.take("nqn", str)))
         box.end()
     operator = Operator(
@@ -101,10 +59,11 @@
         host_nqn=nvme.take("host_nqn", str, "nqn.2026-12.example:sabledyke"),
         volumes=volumes,
         boxes=tuple(boxes),
-        store=store.take("path", str, ""),
+        store=store,
     )
     nvme.end()
-    store.end()
+    if store is not None and {b.node for b in store.boxes} & {n for n, _ in boxes}:
+        raise OperatorError("a host is named both in nvme.box and in store.box")
     for what in ("namespace", "volume"):
         if len({getattr(v, what) for v in volumes}) < len(volumes):
             raise OperatorError(f"two nvme.volume rows have the same {what}")
@@ -116,7 +75,7 @@
 
 
 def _volume(data: object, number: int, settings: api.Settings) -> Volume:
-    row = _Table(data, f"nvme.volume[{number}]")
+    row = Table(data, f"nvme.volume[{number}]")
     classes, plans = [c.name for c in settings.classes], [p.name for p in settings.plans]
     read_class, write_class = row.name("read_class", classes), row.name("write_class", classes)
     volume = row.take("volume", str)
@@ -145,3 +104,6 @@
     )
     row.end()
     return made
+
+
+__all__ = ["Operator", "OperatorError", "load", "read"]
--- /dev/null
+++ b/sabledyke/store/part.py
@@ -0,0 +1,105 @@
+"""Where the store is set up: the record's transport, and the links to boxes that are databases."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from sabledyke import interface as api
+from sabledyke import log
+from sabledyke.core import Transport, Work
+from sabledyke.net.parts import Done, Host, Part, Submit
+from sabledyke.net.pool import Dial, Report
+from sabledyke.store.connect import connect
+from sabledyke.store.faults import StoreError, StoreFault
+from sabledyke.store.keeper import Keeper
+from sabledyke.store.recorder import Recorder
+from sabledyke.store.section import Section
+from sabledyke.store.sqllink import SqlDialer
+
+if TYPE_CHECKING:
+    from sabledyke.config import Config
+    from sabledyke.operator import Operator
+
+
+class RecordPart(Part):
+    """The record of sends and the receipt journal."""
+
+    def __init__(self, host: Host, section: Section) -> None:
+        assert section.record is not None
+        self._target, config = section.record, host.config
+        keeper = Keeper(config.name, section.limits, config.seed, section.kept)
+        target = self._target
+        self.recorder = Recorder(keeper, lambda: connect(target), config.settings, host.entry)
+
+    def reports(self, onward: Report) -> Report:
+        """See ``parts.Part``."""
+        self.recorder.report = onward
+        return self.recorder.ended
+
+    def transport(self, inner: Transport) -> Transport:
+        """See ``parts.Part``."""
+        self.recorder.inner = inner
+        return self.recorder
+
+    def submit(self, work: Work, done: Done, onward: Submit) -> int:
+        """See ``parts.Part``."""
+        return self.recorder.submit(work, done, onward)
+
+    def departed(self, rid: int) -> None:
+        """See ``parts.Part``."""
+        self.recorder.departed(rid)
+
+    async def open(self) -> None:
+        """See ``parts.Part``."""
+        try:
+            await self.recorder.open()
+        except StoreFault as fault:
+            raise StoreError(f"store {self._target}: {fault}") from None
+        position = self.recorder.keeper.position
+        entries = f"{position.seq} entries in the journal"
+        log.say("store", f"{self._target} is open; life {position.life}, {entries}")
+
+    def adopt(self, config: Config) -> None:
+        """See ``parts.Part``."""
+        self.recorder.settings = config.settings
+
+    async def close(self) -> None:
+        """See ``parts.Part``."""
+        await self.recorder.close()
+
+
+class SqlPart(Part):
+    """Boxes that are databases."""
+
+    def __init__(self, host: Host, section: Section) -> None:
+        self.dialer = SqlDialer(host.config.settings, {b.node: b for b in section.boxes}, section.kept)
+
+    def dialers(self) -> dict[api.NodeId, Dial]:
+        """See ``parts.Part``."""
+        return dict.fromkeys(self.dialer.boxes, self.dialer.dial)
+
+    def adopt(self, config: Config) -> None:
+        """See ``parts.Part``."""
+        self.dialer.settings = config.settings
+
+    def listed(self, gone: Iterable[api.NodeId]) -> None:
+        """See ``parts.Part``."""
+        for node in gone:
+            self.dialer.forget(node)
+
+    async def close(self) -> None:
+        """See ``parts.Part``."""
+        self.dialer.close()
+
+
+def set_up(host: Host, section: Operator) -> Part | None:
+    """The record, where the operator's file asks for it."""
+    store = section.store
+    return RecordPart(host, store) if store is not None and store.record is not None else None
+
+
+def set_up_boxes(host: Host, section: Operator) -> Part | None:
+    """The links to databases, where the operator's file marks boxes as such."""
+    store = section.store
+    return SqlPart(host, store) if store is not None and store.boxes else None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,7 +8,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from pathlib import Path
 
 import pytest
 
@@ -18,6 +17,7 @@
 from sabledyke.core import Ended
 from sabledyke.net import front, httpfront, nvmefront, streams, watch
 from sabledyke.net.nvmefront import NvmeClient
+from sabledyke.net.nvmepart import NvmePart
 from sabledyke.net.server import Server
 from sabledyke.protocol import discovery
 from tests.helpers import HELD, READ, SETTINGS, WRITE
@@ -69,6 +69,7 @@
         here = ("127.0.0.1", self.discovery.port)
         self.config = Config("n0", ("127.0.0.1", 0), here, 1, 256, 1 << 22, known, DEPLOYMENT)
         self.server = Server(self.config, extras, 0.1, self.reread)
+        await self.server.open()
         self.server.start()
         self.port, self.nvme_port = (door.port for door in self.server.doors)
         return self
@@ -288,7 +289,10 @@
     async def story(rig: Rig) -> None:
         spare = NvmeBox()  # another cell
         await spare.open()
-        rig.server._boxes[b"spare"] = NQN
+        nvme = rig.server.parts[-1]
+        assert isinstance(nvme, NvmePart)
+        nvme.dialer._boxes[b"spare"] = NQN
+        rig.server._dialers[b"spare"] = nvme.dialer.dial
         rig.discovery.add("spare", spare.port, 2)
         rig.discovery.hosts = rig.discovery.hosts[1:]  # none that speaks HTTP
         rig.server._listed(discovery.read(rig.discovery.listing(), DEPLOYMENT))
@@ -336,47 +340,6 @@
     play(story)
 
 
-def test_a_restart_does_not_repeat_a_recorded_write(tmp_path: Path) -> None:
-    """A write that may have run in a former life: outside its window it fails, unsent."""
-    text = PUT.format(1, "i", INFO + "Idempotency-Key: k\nContent-Length: 0\n")
-
-    async def cut(rig: Rig) -> None:
-        async def die(_: object) -> bytes | None:
-            rig.http.die()
-            return None
-
-        rig.http.answer = die
-        assert (await ask(rig.port, text))[0] == 500
-
-    async def again(rig: Rig) -> None:
-        assert rig.server._store is not None
-        name, sent = next(iter(rig.server._store._sent.items()))
-        assert name == "1/1/k" and sent.shard == 0
-        rig.server._store._sent[name] = replace(sent, at=sent.at - KEYED.repeat_window)
-        assert (await ask(rig.port, text))[0] == 500
-        assert not rig.http.seen
-
-    path = str(tmp_path / "record.sqlite3")
-    play(cut, path)
-    play(again, path)
-
-
-def test_a_store_that_fails_stops_keyed_writes_and_no_reads(tmp_path: Path) -> None:
-    async def story(rig: Rig) -> None:
-        store = rig.server._store
-        assert store is not None
-        store._thread.submit(store._db.execute, "DROP TABLE writes").result()
-        for ident in "ab":
-            text = PUT.format(1, ident, INFO + "Idempotency-Key: k\nContent-Length: 0\n")
-            status, headers, _ = await ask(rig.port, text)
-            assert status == 503
-        assert float(headers["retry-after"]) > 0 and store.failed and not rig.http.seen
-        assert rig.server.core._ids == 1  # the second was not even taken
-        assert (await ask(rig.port, GET.format(1, "i", INFO)))[0] == 200
-
-    play(story, str(tmp_path / "record.sqlite3"))
-
-
 def test_a_connection_whose_end_has_come_is_not_used_again() -> None:
     async def story() -> None:
         for last in (b"", b"408"):
@@ -588,7 +551,7 @@
             assert (await ask(rig.port, GET.format(1, n, INFO)))[::2] == (200, b"right")
             writer = links[-1]
             assert isinstance(writer, asyncio.StreamWriter)
-            stream = rig.server.pool._idle[b"plain"][0].link.stream
+            stream = rig.server.pool._idle[b"plain"][0].link.stream  # type: ignore[attr-defined]
             writer.write(http(200, b"wrong"))
             while not stream.closed() and not stream._read_buffer_size:
                 await asyncio.sleep(0)
@@ -622,15 +585,16 @@
         assert await host.write(2, 0, bytes(512)) == 0
         assert (await ask(rig.port, GET.format(1, "i", INFO)))[0] == 200
         server = rig.server
-        assert server._nvme is not None
-        association = server._nvme._associations[b"block"]
+        nvme = server.parts[-1]
+        assert isinstance(nvme, NvmePart)
+        association = nvme.dialer._associations[b"block"]
         assert set(server.core.nodes) == set(server.pool._addresses) == {b"plain", b"block"}
         rig.discovery.hosts.pop()
         server._listed(discovery.read(rig.discovery.listing(), DEPLOYMENT))
         delta = {"seq": 2, "whole": False, "hosts": [rig.discovery.hosts[0] | {"health": "gone"}]}
         server._listed(discovery.read(delta, DEPLOYMENT))
         assert not server.core.nodes and not server.pool._addresses and not server.pool._slots
-        assert association.left and not server._nvme._associations
+        assert association.left and not nvme.dialer._associations
         host.close()
 
     play(story)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -18,7 +18,6 @@
 from sabledyke.__main__ import main
 from sabledyke.log import Limiter
 from sabledyke.protocol.discovery import ListError
-from sabledyke.store import KEPT, Sent, Store
 from tests.helpers import FREE, READ, SETTINGS, WRITE
 from tests.test_wire import CONF
 
@@ -126,25 +125,6 @@
     assert limiter.lines("a", "5") == ["sabledyke a: 3 more like the last left out", "sabledyke a: 5"]
 
 
-def test_the_store_remembers_what_may_have_run(tmp_path: Path) -> None:
-    path = str(tmp_path / "record.sqlite3")
-    store, told = Store(path), list[bool]()
-    now = 9e15
-    for name in ("served", "never", "both", "old"):
-        store.sending(name, Sent(now - 5 * (name == "old"), 1, 0), told.append)
-    store.ended("served", "served")
-    store.ended("never", "never")
-    store.ended("both", "unknown")
-    store.ended("both", "never")  # a later send of it was refused; the first still may have run
-    store.forget(now + KEPT - 1)
-    store.close()
-    assert told == [True] * 4
-    again = Store(path)
-    assert again.earlier("served") == again.earlier("both") == Sent(now, 1, 0)
-    assert again.earlier("never") is again.earlier("old") is None
-    again.close()
-
-
 def test_the_program_starts_serves_and_ends_on_sigterm(tmp_path: Path) -> None:
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
