Test the record through the whole program on both backends, with faults at every message

The record's promises are about failures, so they are caused: stalls of commits, a cut or an error at each message of PostgreSQL's protocol, kills between lives, two lives of one name, a file from before, boxes that show other data. The stand-in speaks protocol 3.0 as far as asyncpg uses it, over real transactions.

Found and mended on the way: findings of drift did not wake the record; class 08 SQLSTATEs counted as errors of the server instead of a lost connection.

--- a/sabledyke/store/faults.py
+++ b/sabledyke/store/faults.py
@@ -64,7 +64,8 @@
 
     But for 08 and 57P: a connection that ends may end in the middle of a commit, which the caller knows.
     """
-    return StoreFault(_STATES.get(sqlstate, Kind.BROKEN), f"{text} ({sqlstate})")
+    kind = Kind.LOST if sqlstate.startswith("08") else _STATES.get(sqlstate, Kind.BROKEN)
+    return StoreFault(kind, f"{text} ({sqlstate})")
 
 
 def of_sqlite(fault: sqlite3.Error, *, committing: bool = False) -> StoreFault:
--- a/sabledyke/store/keeper.py
+++ b/sabledyke/store/keeper.py
@@ -153,7 +153,8 @@
     @property
     def busy(self) -> bool:
         """Something waits for the database."""
-        return bool(self._asking or self._entries or self._settles or self._waiting or self.flight)
+        waits = self._asking or self._entries or self._settles or self._waiting or self._drifts
+        return bool(waits or self.flight)
 
     @property
     def restless(self) -> bool:
--- a/tests/standins/postgres.py
+++ b/tests/standins/postgres.py
@@ -82,6 +82,7 @@
     password: str = "secret"
     script: Script = nothing
     sessions: int = 0
+    sessions_messages: dict[int, int] = field(default_factory=dict)  # how many each has received
     cancelled: list[int] = field(default_factory=list)
     statements: list[str] = field(default_factory=list)  # all that was executed, in order
     types: dict[tuple[str, str], int] = field(default_factory=dict)
@@ -173,6 +174,7 @@
         while True:
             kind, body = await self._receive()
             self._messages += 1
+            self.server.sessions_messages[self.number] = self._messages
             if kind == b"X":
                 return
             try:
@@ -189,7 +191,8 @@
                 if fault.state.startswith("57P"):  # the session ends with it
                     await self._flush()
                     return
-                if kind == b"Q":
+                if kind in b"QS":
+                    self._skipping = False
                     self._ready()
                 else:
                     self._skipping = True
@@ -264,7 +267,12 @@
     # Queries.
 
     async def _simple(self, sql: str) -> None:
-        await self._at("before", sql)
+        try:
+            await self._at("before", sql)
+        except PgError:
+            if sql == "COMMIT":  # a commit that fails ends its transaction
+                await self._run("ROLLBACK", [])
+            raise
         _, tag = await self._run(sql, [])
         await self._at("after", sql)
         self._say(b"C", tag.encode() + b"\0")
