--- a/sabledyke/store/health.py
+++ b/sabledyke/store/health.py
@@ -31,7 +31,7 @@
     longest_wait: float = 300.0  # ... so long: a store that is back is found within it, and one trial
     backlog: int = 10_000  # intents and entries that may wait; beyond it nothing is taken
     batch: int = 256  # intents, and entries, that go into one transaction
-    gather: float = 4.0  # for how long a batch gathers what may join it
+    gather: float = 15.0  # for how long a batch gathers what may join it
 
 
 class Health:
--- a/sabledyke/store/keeper.py
+++ b/sabledyke/store/keeper.py
@@ -37,7 +37,7 @@
 )  # fmt: skip
 
 DRIFTS = 64  # findings of drift that may wait for a batch
-FORGET_EVERY = 2000.0  # ms between batches that also drop what is too old
+FORGET_EVERY = 1000.0  # ms between batches that also drop what is too old
 TIDY = 1000.0  # ms between looks at what memory can forget
 CONFLICTS = 3  # batches in a row that are simply written again where the database says so
 _RANK = {"": 0, NEVER: 1, UNKNOWN: 2, SERVED: 3}  # the stronger word on a write stands
--- a/sabledyke/store/recorder.py
+++ b/sabledyke/store/recorder.py
@@ -27,8 +27,8 @@
 from sabledyke.store.session import Session
 from sabledyke.store.terms import Batch, Drift, Entry, Found, Sent, name_of, token_of
 
-TICK = 0.02  # seconds between looks at what waits, while anything does
-MARGIN = GUARD + 10  # ms before its deadline by which a served answer is passed on or given up
+TICK = 0.05  # seconds between looks at what waits, while anything does
+MARGIN = GUARD + 1000 * TICK + 10  # ms before its deadline by which a served answer is passed on or given up
 FLUSH = 1.0  # seconds at the end for what is still to be written
 
 Opener = Callable[[], Awaitable[Session]]
@@ -76,7 +76,7 @@
         self._tickets: dict[int, tuple[Done, Answer]] = {}  # served answers that wait for their entries
         self._last_ticket = 0
         self._pump: asyncio.Task[None] | None = None
-        self._gathering: asyncio.TimerHandle | None = None
+        self._gathering: asyncio.Handle | None = None
         self._ticking: asyncio.TimerHandle | None = None
         self._ending = False
 
@@ -234,7 +234,10 @@
         if self._pump is None and self._gathering is None and self.keeper.restless:
             now = clock.now()
             wait = max(self.keeper.limits.gather, self.keeper.health.next_trial() - now)
-            self._gathering = self._loop.call_later(wait / 1000, self._begin)
+            if wait > 0:
+                self._gathering = self._loop.call_later(wait / 1000, self._begin)
+            else:  # all that comes in this turn of the loop, and then while its batch is written
+                self._gathering = self._loop.call_soon(self._begin)
         if self._ticking is None and self.keeper.restless:
             self._ticking = self._loop.call_later(TICK, self._tick)
 
--- a/sabledyke/store/session.py
+++ b/sabledyke/store/session.py
@@ -22,6 +22,7 @@
 from sabledyke.store.terms import Row, Step, Value
 
 T = TypeVar("T")
+CHECKPOINT = 4000  # pages of the log, 16 MB, after which a commit also moves them into the file
 BUSY = 0.1  # seconds that SQLite waits for another's lock; longer waits are the caller's decision
 
 
@@ -70,7 +71,7 @@
     async def call(self, what: Callable[[], T]) -> T:
         future: asyncio.Future[T] = self._loop.create_future()
         self._calls.put((what, future))
-        return await asyncio.shield(future)
+        return await future  # cancelled, it finds nobody: what it does is done all the same
 
     def end(self, last: Callable[[], None]) -> None:
         """Nothing follows this call."""
@@ -127,6 +128,7 @@
             self._db = db
             db.execute("PRAGMA journal_mode = WAL").close()
             db.execute("PRAGMA synchronous = FULL").close()
+            db.execute(f"PRAGMA wal_autocheckpoint = {CHECKPOINT}").close()
             db.execute("SELECT count(*) FROM sqlite_master").close()  # is it a database at all?
         except sqlite3.Error as fault:
             self.closed = True
--- a/sabledyke/store/statements.py
+++ b/sabledyke/store/statements.py
@@ -11,7 +11,7 @@
 from sabledyke.store.terms import Batch, Found, Row, Sent, Step
 
 VERSION = 2  # of the record's schema
-SLICE = 500  # forgotten writes that one batch drops
+SLICE = 1000  # forgotten writes that one batch drops
 
 # Version 1 is the table that SQLite files had before there were versions: such a file has no schema_version.
 _V1 = (
@@ -156,8 +156,9 @@
 
 
 def for_sqlite(sql: str) -> str:
-    """A statement as SQLite reads it."""
-    return _VALUE.sub(r"?\1", sql).removesuffix(" FOR UPDATE")
+    """A statement as SQLite reads it; a table with a key of its own needs no row numbers beside it."""
+    text = _VALUE.sub(r"?\1", sql).removesuffix(" FOR UPDATE")
+    return text + " WITHOUT ROWID" if text.startswith("CREATE TABLE") and "PRIMARY KEY" in text else text
 
 
 def steps(batch: Batch, instance: str) -> list[Step]:
--- a/tests/standins/postgres.py
+++ b/tests/standins/postgres.py
@@ -23,6 +23,7 @@
 import secrets
 import sqlite3
 import struct
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -439,3 +440,14 @@
     else:
         raw = value.encode() if isinstance(value, str) else bytes(value)
     return struct.pack("!i", len(raw)) + raw
+
+
+async def _alone(path: str) -> None:
+    server = Postgres(path)
+    await server.open()
+    print(server.port, flush=True)
+    await asyncio.sleep(1800)
+
+
+if __name__ == "__main__":  # in a process of its own, for measurements: prints its port
+    asyncio.run(_alone(sys.argv[1]))
--- a/tests/test_store_record.py
+++ b/tests/test_store_record.py
@@ -15,6 +15,7 @@
 from sabledyke.store import tools
 from sabledyke.store.faults import StoreError
 from sabledyke.store.section import Target
+from sabledyke.store.session import SqliteSession
 from tests.standins.postgres import Cut, PgError, Point, nothing
 from tests.store_rig import BACKENDS, StoreRig, rig
 
@@ -294,6 +295,35 @@
     assert capfd.readouterr().err.count("drift: box-0 shows volume") == 1
 
 
+@pytest.mark.parametrize(("pragma", "back"), [
+    ("max_page_count = 1", "max_page_count = 1000000"), ("query_only = 1", "query_only = 0"),
+])  # fmt: skip
+def test_a_full_or_read_only_disk_in_service_is_a_stall_and_loses_nothing(
+    tmp_path: Path, pragma: str, back: str
+) -> None:
+    async def story(made: StoreRig) -> None:
+        assert (await made.put("before"))[0] == 200
+        session = made.recorder._session
+        assert isinstance(session, SqliteSession)
+        made.boxes[0].fates = ["hold"]
+        held = asyncio.create_task(made.put("held", piece=2))
+        await made.boxes[0].held.wait()
+        await session.run(lambda db: db.execute(f"PRAGMA {pragma}").close())
+        made.boxes[0].go.set()
+        assert (await held)[0] in (200, 500)  # a page may have had room for one more entry
+        n = 0
+        while (await made.put(f"k{n}", b"x" * 3000, n))[0] == 200:  # until the pages that are there are full
+            n += 1
+        assert (await made.get())[0] == 200 and not made.recorder.keeper.takes()
+        await session.run(lambda db: db.execute(f"PRAGMA {back}").close())
+        until = time.monotonic() + 5
+        while (await made.put("after", piece=9))[0] != 200:
+            assert time.monotonic() < until
+        assert {"before", "held", "after"} <= {k for k, _ in made.journal()}
+
+    play(tmp_path, "sqlite", story)
+
+
 @pytest.mark.parametrize(("make", "says"), [
     ("corrupt", "is corrupt"), ("newer", "a schema that this version does not know"),
     ("folder", "cannot be reached"), ("half", "a restore into it was not finished"),
