Add TLS towards boxes and on both fronts, with keys that change in service

Traffic to boxes must be encrypted and verified, and a box that comes back cold must not be pushed over by the handshakes of all schedulers. sabledyke/tls/ has a layer fed bytes (ciphertext counted, an end without the closing alert is no end), one driver under every link and before both fronts, a keyring that takes generations of keys whole or not at all, tickets used once and dropped with the box's start or the keys, and admission of handshakes by this scheduler's share of what a box of its age bears. Clients may be held to the volumes of their certificates. Off on the platform; `sabledyke tls check` reads keys without a start.

Links now reach boxes through one door (pool.Connect), and dialers are told how long the attempt has.

--- a/sabledyke/__main__.py
+++ b/sabledyke/__main__.py
@@ -6,6 +6,7 @@
   sabledyke store (check | migrate | audit | reconcile) --operator FILE
   sabledyke store (backup | restore) FILE --operator FILE
   sabledyke store export FILE [--since MS] --operator FILE
+  sabledyke tls check FILE
   sabledyke version
   sabledyke (-h | --help)
 
@@ -20,6 +21,7 @@
     backup        Copy it, also in service, into a new SQLite file.
     restore       Fill an empty record from a backup, once that passes its checks.
     export        The journal as JSON lines, to a new file or - for standard output.
+  tls check     Say what the keys that an operator's file names are good for, and until when.
   version       Print the version.
 
 Options:
@@ -72,6 +74,10 @@
         said = docopt(__doc__, arguments)
         command = next((c for c in ("check-config", "version") if said[c]), "serve")
         path = said["--operator"]
+        if said["tls"]:
+            from sabledyke.cli import tls
+
+            return tls.main(said)
         if said["store"]:
             from sabledyke.cli import store
 
--- /dev/null
+++ b/sabledyke/cli/tls.py
@@ -0,0 +1,32 @@
+"""``sabledyke tls check``: what the keys of an operator's file are good for, without a start."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from sabledyke.config import ConfigError
+
+
+def main(said: Mapping[str, Any]) -> int:
+    """0 where the keys can be used, 1 where they end within 30 days, 2 where they cannot be used."""
+    try:
+        from sabledyke.tls import keyring, material, section
+    except ImportError:
+        print("sabledyke: tls wants cryptography: pip install 'sabledyke[tls]'", file=sys.stderr)
+        return 2
+    now = time.time() * 1000
+    try:
+        found = section.load(said["FILE"])
+        checked = material.check(found.paths.read(), now)
+    except (ConfigError, material.MaterialError) as fault:
+        print(f"sabledyke: {fault}", file=sys.stderr)
+        return 2
+    names = ", ".join(checked.names) or "no name"
+    print(f"our certificate is for {names}" if checked.files.chain else "no certificate of ours")
+    for end, what in sorted(checked.ends):
+        print(f"{what}: ends in {(end - now) / keyring.DAY:.1f} days")
+    print(f"boxes are known as {found.name}")
+    return 1 if checked.first_end[0] - now <= max(keyring.WARN_DAYS) * keyring.DAY else 0
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -6,7 +6,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from math import inf
 
 from sabledyke import log
@@ -14,6 +14,7 @@
 from sabledyke.net import streams
 
 Submit = Callable[[Work, Callable[[Answer], None]], int]
+Guard = Callable[[streams.IOStream], Awaitable[streams.Stream | None]]  # see ``parts.Guard``
 SWEEP = 0.25  # seconds between looks at who keeps a connection without asking
 ASKING = 2.25  # seconds for the first request after connecting, and for each that has begun
 IDLE, CROWDED = 10.0, 2.0  # seconds that a connection may rest between requests, and while it is crowded
@@ -21,13 +22,14 @@
 TRIES = 4  # connections that are looked at where room must be made
 BACKLOG = 512  # connections that may wait to be accepted
 BATCH = 16  # connections that are accepted before those that are there have their turn
+GATE = 64  # handshakes of clients that may be unfinished at a time
 YOUNG = 0.05  # seconds in which a new connection is spared where room must be made
 
 
 class Client(ABC):
     """One connection of a client."""
 
-    def __init__(self, stream: streams.IOStream) -> None:
+    def __init__(self, stream: streams.Stream) -> None:
         self.stream = stream
         self.fresh = True  # no read or write was asked yet: it is silent, or looks at health alone
         self.since = asyncio.get_running_loop().time()  # it connected, began to ask, or took its last answer
@@ -70,9 +72,11 @@
     """All connections of clients that speak one protocol."""
 
     def __init__(
-        self, name: str, most: int, make: Callable[[Front, streams.IOStream], Client], room: streams.Room
+        self, name: str, most: int, make: Callable[[Front, streams.Stream], Client], room: streams.Room
     ) -> None:
-        self._name, self.most, self._make, self.room = name, most, make, room
+        self.name, self.most, self._make, self.room = name, most, make, room
+        self.guard: Guard | None = None  # what connections must pass before they count as clients
+        self._at_the_gate: set[asyncio.Task[None]] = set()  # those that are passing it
         self.roomy = inf  # connections up to which it is not crowded
         self.reading = inf  # seconds for a client to take in an answer
         self.leaving = False  # the program ends: answers say so, and connections end with them
@@ -85,22 +89,59 @@
 
         Guards against clients that together hold more descriptors than the machine gives.
         """
-        if len(self.clients) >= self.most:
-            spare = self._spare()
-            which = "an idle one" if spare else "a new one"
-            log.say("front", f"{len(self.clients)} {self._name} clients: {which} is closed")
-            if spare is None:
-                sock.close()
-                return
-            spare.close()
+        if self.guard is not None:
+            return self._pass(sock, self.guard)
+        if not self._room_for_one():
+            return sock.close()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._let_in(streams.IOStream(sock, read_chunk_size=streams.READ))
+
+    def _pass(self, sock: socket.socket, guard: Guard) -> None:
+        """Let a connection pass the guard; a client only afterwards, so that who is in stays in meanwhile.
+
+        Guards against a crowd of handshakes that never end, or that cost clients their places.
+        """
+        if self.closing or len(self._at_the_gate) >= GATE:
+            log.say("front", f"{len(self._at_the_gate)} {self.name} handshakes: a new one is closed")
+            sock.close()
+            return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = self._make(self, streams.IOStream(sock, read_chunk_size=streams.READ))
+        stream = streams.IOStream(sock, read_chunk_size=streams.READ)
+
+        async def go() -> None:
+            try:
+                passed = await guard(stream)
+            except BaseException:
+                stream.close()
+                raise
+            if passed is None or self.closing or not self._room_for_one():
+                stream.close()
+            else:
+                self._let_in(passed)
+
+        task = asyncio.get_running_loop().create_task(go())
+        self._at_the_gate.add(task)
+        task.add_done_callback(self._at_the_gate.discard)
+
+    def _let_in(self, stream: streams.Stream) -> None:
+        client = self._make(self, stream)
         client.ended = lambda: self._forget(client)
         self.clients[client] = None
         if self._sweeping is None:
             self._sweeping = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         asyncio.get_running_loop().create_task(client.serve())
 
+    def _room_for_one(self) -> bool:
+        """Whether one more may come in, once an idle one has made room where there are too many."""
+        if len(self.clients) < self.most:
+            return True
+        spare = self._spare()
+        which = "an idle one" if spare else "a new one"
+        log.say("front", f"{len(self.clients)} {self.name} clients: {which} is closed")
+        if spare is not None:
+            spare.close()
+        return spare is not None
+
     def _spare(self) -> Client | None:
         """The connection that can best be done without.
 
@@ -153,6 +194,8 @@
 
     def close(self) -> None:
         """Close all connections."""
+        for task in self._at_the_gate:
+            task.cancel()
         for client in list(self.clients):
             client.close()
 
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -18,7 +18,7 @@
     """A connection: a request at a time, each answered before the next is looked at."""
 
     def __init__(
-        self, front: Front, stream: streams.IOStream, reader: Reader, ids: Ids, submit: Submit,
+        self, front: Front, stream: streams.Stream, reader: Reader, ids: Ids, submit: Submit,
         depart: Callable[[int], None],
     ) -> None:  # fmt: skip
         super().__init__(stream)
@@ -89,6 +89,8 @@
             self._write(encode_response(200, close=last), last)
             return
         work = self._reader.work(message)
+        if not streams.permits(self.stream, work.volume):
+            raise HttpError("a client without a right to this volume", 403)
         self._ids.claim(clock.now(), work)
 
         def done(answer: Answer) -> None:
--- a/sabledyke/net/httplink.py
+++ b/sabledyke/net/httplink.py
@@ -7,7 +7,7 @@
 from sabledyke import interface as api
 from sabledyke.core import Ended, Work
 from sabledyke.net import streams
-from sabledyke.net.pool import Address, BadPeer
+from sabledyke.net.pool import Address, BadPeer, Connect, plain
 from sabledyke.protocol.gateway import Reader, to_box
 from sabledyke.protocol.http import MAX_BODY, HttpError, Message, Parser
 
@@ -15,7 +15,7 @@
 class HttpLink(streams.StreamLink):
     """See ``pool.Link``."""
 
-    def __init__(self, host: str, stream: streams.IOStream, reader: Reader, room: streams.Room) -> None:
+    def __init__(self, host: str, stream: streams.Stream, reader: Reader, room: streams.Room) -> None:
         super().__init__(stream)
         self._host, self._reader, self._room = host, reader, room
         self._parser = Parser(responses=True)
@@ -58,10 +58,12 @@
 class HttpDialer:
     """Opens such connections."""
 
-    def __init__(self, settings: api.Settings, reader: Reader, room: streams.Room) -> None:
-        self.settings, self._reader, self._room = settings, reader, room
+    def __init__(
+        self, settings: api.Settings, reader: Reader, room: streams.Room, connect: Connect = plain
+    ) -> None:
+        self.settings, self._reader, self._room, self._connect = settings, reader, room, connect
 
-    async def dial(self, node: api.NodeId, address: Address) -> HttpLink:
+    async def dial(self, node: api.NodeId, address: Address, patience: float) -> HttpLink:
         """See ``pool.Dial``."""
-        stream = await streams.connect(address, self.settings.connect_timeout)
+        stream = await self._connect(node, address, self.settings.connect_timeout, patience)
         return HttpLink(f"{address[0]}:{address[1]}", stream, self._reader, self._room)
--- a/sabledyke/net/nvmefront.py
+++ b/sabledyke/net/nvmefront.py
@@ -11,14 +11,14 @@
 from sabledyke.net import streams
 from sabledyke.net.front import ASKING, Client, Front, Submit
 from sabledyke.protocol.blocks import Translator
-from sabledyke.protocol.nvme import Command, NvmeError, Target
+from sabledyke.protocol.nvme import Command, Completion, NvmeError, Status, Target
 
 
 class NvmeClient(Client):
     """One queue of a host."""
 
     def __init__(
-        self, front: Front, stream: streams.IOStream, translator: Translator, submit: Submit,
+        self, front: Front, stream: streams.Stream, translator: Translator, submit: Submit,
         depart: Callable[[int], None],
     ) -> None:  # fmt: skip
         super().__init__(stream)
@@ -89,7 +89,11 @@
         if self._front.closing:  # guards against a host that never pauses holding up the end
             self.target.complete(*self._translator.completion(command, Answer(Verdict.REFUSED)))
             return
-        self._rids[command.cid] = self._submit(self._translator.work(command, payload), done)
+        work = self._translator.work(command, payload)
+        if not streams.permits(self.stream, work.volume):
+            self.target.complete(Completion(command.cid, Status.ACCESS_DENIED, dnr=True), b"")
+            return
+        self._rids[command.cid] = self._submit(work, done)
 
     def _watch(self) -> None:
         """Close once the host has sent nothing for the time it gave at its connect."""
--- a/sabledyke/net/nvmelink.py
+++ b/sabledyke/net/nvmelink.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import uuid
+from collections.abc import Awaitable, Callable
 
 from sabledyke import interface as api
 from sabledyke import log
 from sabledyke.core import Ended, Work
 from sabledyke.interface import Outcome
 from sabledyke.net import streams
-from sabledyke.net.pool import Address, BadPeer
+from sabledyke.net.pool import Address, BadPeer, Connect, plain
 from sabledyke.protocol.blocks import NotHere, Translator
 from sabledyke.protocol.nvme import (
     DYNAMIC,
@@ -34,7 +35,7 @@
 class _Channel:
     """One queue's connection."""
 
-    def __init__(self, stream: streams.IOStream) -> None:
+    def __init__(self, stream: streams.Stream) -> None:
         self.stream, self.inbox, self.machine = stream, streams.Inbox(stream), Initiator()
         self.written: asyncio.Future[None] | None = None
 
@@ -101,16 +102,19 @@
         return self._translator.from_box(work, done, data)
 
 
+Open = Callable[[Address, float], Awaitable[streams.Stream]]  # within so many milliseconds
+
+
 class _Association:
     """The admin queue of a box, and the numbers of its I/O queues."""
 
-    def __init__(self, address: Address, nqn: str, host: tuple[bytes, str]) -> None:
-        self.address, self._nqn, self._host = address, nqn, host
+    def __init__(self, address: Address, nqn: str, host: tuple[bytes, str], connect: Open) -> None:
+        self.address, self._nqn, self._host, self._connect = address, nqn, host, connect
         self._admin: _Channel | None = None
         self._cntlid = 0
         self._most = 0
         self._last = 0
-        self._queues: dict[int, streams.IOStream] = {}
+        self._queues: dict[int, streams.Stream] = {}
         self._lock = asyncio.Lock()
         self._keeping: asyncio.Task[None] | None = None
         self.left = False  # the box is gone from the list
@@ -121,7 +125,7 @@
             if self._admin is None or self._admin.stream.closed():
                 await self._associate(timeout)
             number = self._number()
-            channel = _Channel(await streams.connect(self.address, timeout))
+            channel = _Channel(await self._connect(self.address, timeout))
             self._queues[number] = channel.stream
         try:
             await channel.must(*connect(self._nqn, number, self._cntlid, self._host, 0))
@@ -139,7 +143,7 @@
         raise BadPeer("no queue to spare")
 
     async def _associate(self, timeout: float) -> None:
-        admin = _Channel(await streams.connect(self.address, timeout))
+        admin = _Channel(await self._connect(self.address, timeout))
         try:
             self._cntlid = await admin.must(*connect(self._nqn, 0, DYNAMIC, self._host, KEEP_ALIVE)) & 0xFFFF
             await admin.must(property_get(Prop.CAP))
@@ -181,21 +185,27 @@
     """Opens I/O queues."""
 
     def __init__(
-        self, settings: api.Settings, translator: Translator, boxes: dict[api.NodeId, str], host_nqn: str
-    ) -> None:
+        self, settings: api.Settings, translator: Translator, boxes: dict[api.NodeId, str], host_nqn: str,
+        connect: Connect = plain, slack: float = 0.0,
+    ) -> None:  # fmt: skip
+        self._connect, self._slack = connect, slack  # ms that the way may take beyond a connection
         self.settings, self._translator, self._boxes = settings, translator, boxes
         self._host = uuid.uuid4().bytes, host_nqn
         self._associations: dict[api.NodeId, _Association] = {}
 
-    async def dial(self, node: api.NodeId, address: Address) -> NvmeLink:
+    async def dial(self, node: api.NodeId, address: Address, patience: float) -> NvmeLink:
         """See ``pool.Dial``."""
         known = self._associations.get(node)
         if known is None or known.address != address:
             if known is not None:
                 known.close()
-            known = self._associations[node] = _Association(address, self._boxes[node], self._host)
-        async with asyncio.timeout(self.settings.connect_timeout / 1000):
-            channel = await known.queue(self.settings.connect_timeout)
+            known = self._associations[node] = _Association(
+                address, self._boxes[node], self._host,
+                lambda where, ms: self._connect(node, where, self.settings.connect_timeout, ms),
+            )  # fmt: skip
+        within = min(patience, self.settings.connect_timeout + self._slack)
+        async with asyncio.timeout(within / 1000):
+            channel = await known.queue(within)
         return NvmeLink(channel, self._translator)
 
     def forget(self, node: api.NodeId) -> None:
--- a/sabledyke/net/nvmepart.py
+++ b/sabledyke/net/nvmepart.py
@@ -25,7 +25,9 @@
         settings = host.config.settings
         self._section, self._boxes = section, dict(section.boxes)
         translator = self._translator = Translator(settings, section.nqn, section.volumes)
-        self.dialer = NvmeDialer(settings, translator, self._boxes, section.host_nqn)
+        self.dialer = NvmeDialer(
+            settings, translator, self._boxes, section.host_nqn, host.connect, host.slack
+        )
         self._front = Front("NVMe", section.connections, lambda front, stream: NvmeClient(
             front, stream, translator, host.submit, host.depart), host.room)  # fmt: skip
 
--- a/sabledyke/net/parts.py
+++ b/sabledyke/net/parts.py
@@ -13,12 +13,12 @@
 
 from sabledyke import interface as api
 from sabledyke.core import Answer, Transport, Work
-from sabledyke.net.pool import Dial, Report
+from sabledyke.net.pool import Connect, Dial, Report
 
 if TYPE_CHECKING:
     from sabledyke.config import Config
     from sabledyke.net import streams
-    from sabledyke.net.front import Front
+    from sabledyke.net.front import Front, Guard
 
 Done = Callable[[Answer], None]
 Submit = Callable[[Work, Done], int]
@@ -33,6 +33,8 @@
     entry: Callable[[api.NodeId], api.NodeEntry]  # a listed box
     submit: Submit  # the way to the core, through all parts
     depart: Callable[[int], None]  # the client of a request is gone
+    connect: Connect  # the way to a box's address, through all parts
+    slack: float = 0.0  # ms that this way may take beyond a connection, as parts before have set it
 
 
 class Part:
@@ -50,6 +52,14 @@
         """For which boxes this part opens the connections."""
         return {}
 
+    def connect(self, onward: Connect) -> Connect:
+        """What this part makes of connections to boxes."""
+        return onward
+
+    def guard(self, front: str) -> Guard | None:
+        """What a connection must pass before this front sees it as a client."""
+        return None
+
     def fronts(self) -> Sequence[tuple[Front, tuple[str, int]]]:
         """Fronts that it adds, and where each listens."""
         return ()
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -50,7 +50,15 @@
         """End it, whatever is under way on it."""
 
 
-Dial = Callable[[api.NodeId, Address], Awaitable[Link]]
+# Node, address, and the milliseconds that the attempt has.
+Dial = Callable[[api.NodeId, Address, float], Awaitable[Link]]
+# Node, address, milliseconds for the connection itself, and those that the attempt has.
+Connect = Callable[[api.NodeId, Address, float, float], Awaitable[streams.Stream]]
+
+
+async def plain(_: api.NodeId, address: Address, connect_ms: float, __: float) -> streams.Stream:
+    """The connection that no part has made another of."""
+    return await streams.connect(address, connect_ms)
 
 
 class _Slot:
@@ -121,7 +129,7 @@
 
     async def _fly(self, flight: _Flight, timeout: float) -> None:
         try:
-            slot = self._reuse(flight.node) or await self._open(flight.node)
+            slot = self._reuse(flight.node) or await self._open(flight.node, timeout)
             if (flight.rid, flight.number) not in self._flights:  # given up while the connection came up
                 self._keep(slot)
                 return
@@ -138,7 +146,7 @@
             self._keep(slot)
         self._end(flight, ended)
 
-    async def _open(self, node: api.NodeId) -> _Slot:
+    async def _open(self, node: api.NodeId, patience: float) -> _Slot:
         address = self._addresses.get(node)
         if self._slots >= self.most:
             self._make_room()
@@ -147,7 +155,7 @@
             raise streams.StreamClosedError
         self._slots += 1
         try:
-            return _Slot(node, address, await self._dial(node, address))
+            return _Slot(node, address, await self._dial(node, address, patience))
         except BaseException:
             self._slots -= 1
             raise
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -19,7 +19,7 @@
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
 from sabledyke.net.parts import Done, Host, Part, Submit
-from sabledyke.net.pool import Address, Dial, Link, Pool, Report
+from sabledyke.net.pool import Address, Connect, Dial, Link, Pool, Report, plain
 from sabledyke.net.watch import Watch
 from sabledyke.protocol.discovery import Listing
 from sabledyke.protocol.gateway import Ids, Reader
@@ -30,6 +30,7 @@
 # Optional parts, the nearest to the core first: where each is set up, and whether the file asks for it. Each
 # is loaded only then.
 PARTS: tuple[tuple[str, str, Callable[[Operator], object]], ...] = (
+    ("sabledyke.tls.part", "set_up", lambda o: o.tls),
     ("sabledyke.store.part", "set_up", lambda o: o.store),
     ("sabledyke.store.part", "set_up_boxes", lambda o: o.store),
     ("sabledyke.net.nvmepart", "set_up", lambda o: o.listen or o.boxes),
@@ -58,7 +59,7 @@
         self.watch = Watch(config.discovery, settings, known.news.version if known else None, self._listed)
         self._reader = Reader(settings)
         self._room = streams.Room(0)
-        self._http = HttpDialer(settings, self._reader, self._room)
+        self._http = HttpDialer(settings, self._reader, self._room, self._reach)
         self.parts = self._set_up_parts(operator)
         self._dialers: dict[api.NodeId, Dial] = {}
         report: Report = self._ended
@@ -66,7 +67,9 @@
         for part in self.parts:
             report = part.reports(report)
             self._dialers.update(part.dialers())
+        self._connect: Connect = plain
         for part in reversed(self.parts):
+            self._connect = part.connect(self._connect)
             self._submit = functools.partial(_through, part, self._submit)
         self.pool = Pool(settings, report, 0, self._dial)
         transport: Transport = self.pool
@@ -78,6 +81,9 @@
             front, stream, self._reader, ids, self._submit, self._depart), self._room)  # fmt: skip
         more = [front for part in self.parts for front in part.fronts()]
         self.fronts = [http, *(front for front, _ in more)]
+        for front in self.fronts:
+            guards = [g for part in self.parts if (g := part.guard(front.name)) is not None]
+            front.guard = guards[0] if guards else None
         self._listens = [config.listen, *(listen for _, listen in more)]
         self._share_out(config)
         self.doors: list[Door] = []
@@ -87,7 +93,7 @@
             return []
         host = Host(
             self.config, self._room, lambda node: self.core.nodes[node],
-            lambda work, done: self._submit(work, done), self._depart,
+            lambda work, done: self._submit(work, done), self._depart, self._reach,
         )  # fmt: skip
         made = [
             getattr(importlib.import_module(module), name)(host, operator)
@@ -189,8 +195,13 @@
         broken = ", ".join(f"{name}: {n}" for name, n in invariants.broken.items()) or "none"
         log.say("stop", f"{self.config.name} has answered all it took; invariants broken: {broken}")
 
-    async def _dial(self, node: api.NodeId, address: Address) -> Link:
-        return await self._dialers.get(node, self._http.dial)(node, address)
+    async def _reach(
+        self, node: api.NodeId, address: Address, connect_ms: float, patience: float
+    ) -> streams.Stream:
+        return await self._connect(node, address, connect_ms, patience)
+
+    async def _dial(self, node: api.NodeId, address: Address, patience: float) -> Link:
+        return await self._dialers.get(node, self._http.dial)(node, address, patience)
 
     def _take(self, work: Work, done: Done) -> int:
         """The last step of every front's way to the core."""
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -4,13 +4,34 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
 READ = 64 * 1024  # bytes asked of a stream at a time
 
 
+class Stream(Protocol):
+    """What links and clients need of a stream: Tornado's own, or one that encrypts."""
+
+    @property
+    def socket(self) -> socket.socket | None:
+        """The socket underneath, None once closed."""
+
+    def closed(self) -> bool:
+        """It cannot be used any more."""
+
+    def close(self) -> None:
+        """End it."""
+
+    def write(self, data: bytes, /) -> asyncio.Future[None]:
+        """Send; done once the kernel has taken the last byte."""
+
+    def read_bytes(self, num_bytes: int, partial: bool = ...) -> Awaitable[bytes]:
+        """What comes, as it comes; a StreamClosedError at the end."""
+
+
 async def connect(address: tuple[str, int], timeout_ms: float) -> IOStream:
     """An open stream; a StreamClosedError where it does not come up in time."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -49,7 +70,7 @@
     it into its buffer, where it looks like nothing, and it would be read as the answer to the next request.
     """
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: Stream) -> None:
         self._stream = stream
         self._ahead: asyncio.Future[bytes] | None = None
         self._heard: Callable[[], None] = lambda: None
@@ -64,10 +85,15 @@
         self._heard = heard
         try:
             self._ahead = asyncio.ensure_future(self._stream.read_bytes(READ, partial=True))
-            self._ahead.add_done_callback(lambda _: self._heard())
+            self._ahead.add_done_callback(self._came)
         except StreamClosedError:
             asyncio.get_running_loop().call_soon(heard)
 
+    def _came(self, ahead: asyncio.Future[bytes]) -> None:
+        if not ahead.cancelled():
+            ahead.exception()  # an end while it rests is nobody's fault
+        self._heard()
+
     def wake(self) -> bool:
         """An answer is to come next; whether the stream is fit for it."""
         self._heard = lambda: None
@@ -77,7 +103,7 @@
 class StreamLink:
     """What links that stand on one stream have in common; see ``pool.Link``."""
 
-    def __init__(self, stream: IOStream, inbox: Inbox | None = None) -> None:
+    def __init__(self, stream: Stream, inbox: Inbox | None = None) -> None:
         self.stream, self.inbox = stream, inbox or Inbox(stream)
 
     @property
@@ -98,7 +124,7 @@
         return self.inbox.wake()
 
 
-def quiet(stream: IOStream) -> bool:
+def quiet(stream: Stream) -> bool:
     """Open, and the peer has neither said nor ended anything that was not read yet.
 
     Guards against sending on a pooled connection whose end has arrived but was not looked at: what is
@@ -106,6 +132,8 @@
     """
     if stream.closed() or stream.socket is None:
         return False
+    if not getattr(stream, "rested", True):  # what it has taken in already says otherwise
+        return False
     try:
         stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
@@ -115,12 +143,19 @@
     return False
 
 
-def abort(stream: IOStream) -> None:
+def permits(stream: Stream, volume: int) -> bool:
+    """Whether who speaks through it may touch a volume: all may, where nothing says who they are."""
+    rights: frozenset[int] | None = getattr(stream, "rights", None)
+    return rights is None or volume in rights
+
+
+def abort(stream: Stream) -> None:
     """Close, whatever state it is in."""
     if not stream.closed():
         stream.close()
 
 
 __all__ = [
-    "READ", "IOStream", "Inbox", "Room", "StreamClosedError", "StreamLink", "abort", "connect", "quiet",
+    "READ", "IOStream", "Inbox", "Room", "Stream", "StreamClosedError", "StreamLink", "abort", "connect",
+    "permits", "quiet",
 ]  # fmt: skip
--- a/sabledyke/operator.py
+++ b/sabledyke/operator.py
@@ -6,6 +6,7 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 from sabledyke import interface as api
 from sabledyke.protocol.blocks import MAX_DATA, Volume
@@ -15,6 +16,9 @@
 from sabledyke.store.section import Section
 from sabledyke.tables import OperatorError, Table
 
+if TYPE_CHECKING:
+    from sabledyke.tls.section import Section as TlsSection
+
 
 @dataclass(slots=True, frozen=True)
 class Operator:
@@ -27,6 +31,7 @@
     volumes: tuple[Volume, ...] = ()
     boxes: tuple[tuple[api.NodeId, str], ...] = ()  # nodes that speak NVMe, and their subsystems
     store: Section | None = None
+    tls: TlsSection | None = None
 
 
 def load(path: str, settings: api.Settings) -> Operator:
@@ -44,6 +49,7 @@
     whole = Table(tomllib.loads(text), "file")
     nvme = Table(whole.take("nvme", dict, {}), "nvme")
     store = section.read(Table(whole.take("store", dict, {}), "store"), os.environ)
+    tls = _tls(whole.take("tls", dict, {}))
     whole.end()
     listen = nvme.take("listen", str, "")
     volumes = tuple(_volume(v, i, settings) for i, v in enumerate(nvme.take("volume", list, [])))
@@ -60,6 +66,7 @@
         volumes=volumes,
         boxes=tuple(boxes),
         store=store,
+        tls=tls,
     )
     nvme.end()
     if store is not None and {b.node for b in store.boxes} & {n for n, _ in boxes}:
@@ -74,6 +81,16 @@
     return operator
 
 
+def _tls(data: dict[str, Any]) -> TlsSection | None:
+    if not data:
+        return None
+    try:
+        from sabledyke.tls import section as tls  # its library is loaded only where it is wanted
+    except ImportError:
+        raise OperatorError("tls wants cryptography: pip install 'sabledyke[tls]'") from None
+    return tls.read(Table(data, "tls"))
+
+
 def _volume(data: object, number: int, settings: api.Settings) -> Volume:
     row = Table(data, f"nvme.volume[{number}]")
     classes, plans = [c.name for c in settings.classes], [p.name for p in settings.plans]
--- a/sabledyke/store/sqllink.py
+++ b/sabledyke/store/sqllink.py
@@ -243,7 +243,7 @@
         self.settings, self.boxes, self._kept = settings, boxes, kept
         self._open: dict[api.NodeId, _SqlBox] = {}
 
-    async def dial(self, node: api.NodeId, address: Address) -> SqlLink:
+    async def dial(self, node: api.NodeId, address: Address, patience: float) -> SqlLink:
         """See ``pool.Dial``."""
         box = self.boxes[node]
         target = box.target
--- /dev/null
+++ b/sabledyke/tls/part.py
@@ -0,0 +1,145 @@
+"""Where TLS towards boxes is set up."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from sabledyke import interface as api
+from sabledyke import log
+from sabledyke.config import ConfigError
+from sabledyke.net import clock, streams
+from sabledyke.net.parts import Host, Part
+from sabledyke.net.pool import Connect
+from sabledyke.net.streams import Stream
+from sabledyke.tables import OperatorError
+from sabledyke.tls import contexts
+from sabledyke.tls.admission import Terms
+from sabledyke.tls.connector import Connector
+from sabledyke.tls.keyring import Generation, Keyring
+from sabledyke.tls.layer import Layer, TlsError, names_of
+from sabledyke.tls.material import MaterialError
+from sabledyke.tls.section import Section
+from sabledyke.tls.stream import TlsStream, shake
+
+if TYPE_CHECKING:
+    from sabledyke.config import Config
+    from sabledyke.net.front import Guard
+    from sabledyke.operator import Operator
+
+CLIENT_MS = 2000.0  # for a client's handshake
+TIDY_S = 30.0  # seconds between looks at what admission can forget
+
+
+class TlsPart(Part):
+    """See ``parts.Part``."""
+
+    def __init__(self, host: Host, section: Section) -> None:
+        self._host, self._section = host, section
+        host.slack = section.handshake
+        settings = host.config.settings
+        terms = Terms(
+            siblings=settings.hosts, cold_share=settings.cold_share, warm_up=settings.warm_up,
+            part=section.part, cores=section.cores,
+        )  # fmt: skip
+        self.keyring = Keyring(section.overlap * 1000)
+        self.connector = Connector(section, terms, host.config.seed)
+        self._for_clients: ssl.SSLContext | None = None
+        self._timers: list[asyncio.TimerHandle] = []
+
+    def connect(self, plain: Connect) -> Connect:
+        """See ``parts.Part``: never plaintext where TLS is asked for."""
+
+        async def connect(
+            node: api.NodeId, address: tuple[str, int], connect_ms: float, patience: float
+        ) -> Stream:
+            if self._section.boxes and node not in self._section.boxes:
+                return await plain(node, address, connect_ms, patience)
+            return await self.connector.connect(self._host.entry(node), address, connect_ms, patience)
+
+        return connect
+
+    def guard(self, front: str) -> Guard | None:
+        """See ``parts.Part``."""
+        return self._terminate if front in self._section.fronts else None
+
+    async def _terminate(self, inner: streams.IOStream) -> Stream | None:
+        """A client's handshake, bounded in time; who shows no certificate that is wanted is not let in."""
+        assert self._for_clients is not None
+        layer = Layer(self._for_clients, server=True)
+        try:
+            await shake(inner, layer, CLIENT_MS)
+        except (TlsError, TimeoutError, streams.StreamClosedError, ssl.SSLError) as fault:
+            log.say("tls", f"a client's handshake failed: {str(fault) or 'it does not end in time'}")
+            return None
+        made = TlsStream(inner, layer)
+        if self._section.rights:
+            # A certificate with several names has the rights of all of them, one with none has no right.
+            names = names_of(layer.peer())
+            made.rights = frozenset[int]().union(*(self._section.rights.get(n, frozenset()) for n in names))
+        return made
+
+    def _adopt(self, generation: Generation) -> None:
+        self.connector.adopt(generation)
+        if self._section.fronts:
+            section = self._section
+            self._for_clients = contexts.towards_clients(
+                generation, allow_12=section.allow_12, ask=section.clients
+            )
+
+    async def open(self) -> None:
+        """See ``parts.Part``."""
+        try:
+            news = self.keyring.offer(clock.now(), self._section.paths.read())
+        except (MaterialError, OperatorError) as fault:
+            raise ConfigError(f"tls: {fault}") from None
+        self._adopt(self.keyring.generation)
+        for line in news.lines:
+            log.say("tls", line)
+        if self._section.look:
+            self._again(self._section.look, self._look)
+        self._again(TIDY_S, lambda: self.connector.admission.tidy(clock.now()))
+
+    def _again(self, seconds: float, what: object) -> None:
+        """``what`` every so many seconds, until the end."""
+        assert callable(what)
+        place = len(self._timers)
+
+        def run() -> None:
+            what()
+            self._timers[place] = asyncio.get_running_loop().call_later(seconds, run)
+
+        self._timers.append(asyncio.get_running_loop().call_later(seconds, run))
+
+    def _look(self) -> None:
+        try:
+            news = self.keyring.offer(clock.now(), self._section.paths.read())
+        except OperatorError as fault:  # half a rotation: a file is missing for a moment
+            log.say("tls", f"new keys are not used: {fault}; the old ones stay in force")
+            return
+        if news.changed:
+            self._adopt(self.keyring.generation)
+        for line in news.lines:
+            log.say("tls", line)
+
+    def adopt(self, config: Config) -> None:
+        """See ``parts.Part``: SIGHUP looks at the files too."""
+        self._look()
+
+    def listed(self, gone: Iterable[api.NodeId]) -> None:
+        """See ``parts.Part``."""
+        for node in gone:
+            self.connector.forget(node)
+
+    async def close(self) -> None:
+        """See ``parts.Part``."""
+        for timer in self._timers:
+            timer.cancel()
+        self.connector.close()
+
+
+def set_up(host: Host, section: Operator) -> Part | None:
+    """The part, where the operator's file asks for it."""
+    return TlsPart(host, section.tls) if section.tls is not None else None
