--- a/sabledyke/__main__.py
+++ b/sabledyke/__main__.py
@@ -102,7 +102,8 @@
             where = ":".join(map(str, operator.listen)) if operator.listen else "nowhere"
             print(
                 f"operator's file: NVMe at {where}, {len(operator.volumes)} volumes, "
-                f"{len(operator.boxes)} boxes; store {operator.store or 'off'}"
+                f"{len(operator.boxes)} boxes; "
+                f"store {operator.store or 'off'}; TLS {'on' if operator.tls else 'off'}"
             )
         return 0
     try:
--- a/sabledyke/tls/connector.py
+++ b/sabledyke/tls/connector.py
@@ -109,6 +109,11 @@
         self._look(node)
         try:
             return bool(await waiter)
+        except asyncio.CancelledError:
+            # Guards against an attempt that is called off in the turn in which it may go.
+            if waiter.done() and not waiter.cancelled() and waiter.result():
+                self.admission.ended(clock.now(), node, good=True)
+            raise
         finally:
             del self._waiting[attempt]
             if waiter.cancelled():
--- a/sabledyke/tls/part.py
+++ b/sabledyke/tls/part.py
@@ -40,13 +40,8 @@
     def __init__(self, host: Host, section: Section) -> None:
         self._host, self._section = host, section
         host.slack = section.handshake
-        settings = host.config.settings
-        terms = Terms(
-            siblings=settings.hosts, cold_share=settings.cold_share, warm_up=settings.warm_up,
-            part=section.part, cores=section.cores,
-        )  # fmt: skip
         self.keyring = Keyring(section.overlap * 1000)
-        self.connector = Connector(section, terms, host.config.seed)
+        self.connector = Connector(section, self._terms(host.config), host.config.seed)
         self._for_clients: ssl.SSLContext | None = None
         self._used: dict[api.NodeId, float] = {}  # when a connection to a box was last asked for
         self._timers: list[asyncio.TimerHandle] = []
@@ -143,8 +138,17 @@
 
     def adopt(self, config: Config) -> None:
         """See ``parts.Part``: SIGHUP looks at the files too."""
+        self.connector.admission.terms = self._terms(config)
         self._look()
 
+    def _terms(self, config: Config) -> Terms:
+        """What a box bears, and how many schedulers come to it, by the settings in force."""
+        s, section = config.settings, self._section
+        return Terms(
+            siblings=s.hosts, cold_share=s.cold_share, warm_up=s.warm_up, part=section.part,
+            cores=section.cores,
+        )
+
     def listed(self, gone: Iterable[api.NodeId]) -> None:
         """See ``parts.Part``."""
         for node in gone:
