Let new boxes take what their kind was seen to serve, shared by chance over all hosts

At fault: `Scheduler.bears`, which shared the units that any new box bears (3 within 2 s) over 40 hosts and never looked at what boxes can do.

Now each host lets requests through by chance: half of the rule's multiple times the box's warmth, times the part of what was asked that warm boxes of its kind were seen to serve; worthier requests with better odds, and the next one within the window with far worse ones. The sum over all hosts stays at half of what the rule allows.

--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -130,6 +130,7 @@
     drain_grace: float = 0.0  # a node told to drain may be sent work for so long
     most_open: float = inf  # requests that clients can have open here at a time
     connect_timeout: float = 250.0  # a connection not up by then has failed
+    tip_multiple: float = 0.0  # a cold node bears so many times what it can do; 0 for not told
     idle_timeout: float = 15000.0  # nodes close connections idle for this long
 
     def __post_init__(self) -> None:
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -23,6 +23,7 @@
 RECENT, LATE_SHARE = 5, 0.25  # periods whose best sets the budget; share of answers late that "ran past aim"
 WINDOW_LOW, WINDOW_START, WINDOW_HIGH = 0.25, 12.0, 16.0  # in-flight cap, mean requests (start: all hosts)
 CALM, TIGHT, BACK_OFF = 0.5, 0.8, 0.9  # answer time over aim: the cap grows below, above shrinks by a factor
+KEEP = 0.99  # of the sums over nodes of a kind, with each node's period that is added
 SMOOTH, NEWS, FADE = 0.15, 4000.0, 10000.0  # weight of an answer; ms: news grows old, gives way by half
 CAP_POWER = 2.5  # work at x of the full worth may fill x ** (CAP_POWER * answer time / aim) of the cap
 PATIENCE, OVERDUE, LOSSY = 0.4, 2.5, 0.05  # overdue after shortest aims, answer times; share of answers lost
@@ -158,18 +159,23 @@
     def bears(self, job: Job, node: Node) -> bool:
         """Rule 4: this host's even part of a young node's safe units; beyond it, chance shares them out.
 
-        Few hosts have work for the node and none knows which: the chance keeps the work of all within the
-        safe units if the others ask as much as this host does.
+        Few hosts have work for the node and none knows which: the chance keeps the work of all within what
+        the node bears if the others ask as much as this host does. All of them together have seen nodes of
+        its kind serve a part of what they asked, and it bears TIP times the warm part of that. Guards
+        against holding each new node to the least that any bears, which starves a fleet of new ones.
         """
-        warmth = self.warmth(node)
+        warmth, like = self.warmth(node), self.kinds[node.entry.kind]
         if warmth >= 1:
             return True
         safe = self.s.cold_units * warmth / self.s.cold_share
         sent = sum(u for at, u in node.sends if at >= self.now - self.s.fall_window)
+        if sent + job.ask.units <= safe / self.s.hosts:
+            return True
         asked = len(self.taken) * self.mean / min(LOOKBACK, self.now - self.born + self.period)
         expected = asked * self.s.fall_window * self.s.hosts / len(self.ready[-1])
-        part, chance = safe / self.s.hosts, min(warmth, LUCK * safe / expected)
-        return sent + job.ask.units <= part or sent < part and job.luck < chance
+        seen = self.s.tip_multiple * warmth * min(1.0, like.served / like.asked) if like.asked else 0.0
+        chance = LUCK * max(min(warmth, safe / expected), seen) * job.worth / self.usual
+        return job.luck < float(min(1.0, chance) ** (1 + sent / self.mean))  # the worthier, and the less it was sent
 
     def take(self, ask: api.Request) -> None:
         if ask.id in self.jobs:
@@ -194,6 +200,7 @@
         job = Job(ask, kind, volume, due, min(due, now - spent + kind.aim), reserved, self.random.random())
         job.ran = ask.ran
         job.worth = (1.0 if reserved else self.s.share_worth) * kind.worth * volume.plan.worth_factor
+        self.usual += SMOOTH * (job.worth - self.usual) if self.usual else job.worth
         self.jobs[ask.id] = job
         if kind.ordered and ask.key:
             self.chains.setdefault(ask.key, deque()).append(job)
@@ -301,6 +308,8 @@
         filled = node.used + self.mean > node.budget
         past_aim = node.late > LATE_SHARE * node.answers
         node.strained = filled and past_aim
+        if self.warmth(node) >= 1:  # what this kind serves of what it is asked, by all that were met
+            like.asked, like.served = KEEP * like.asked + node.asked, KEEP * like.served + node.served
         node.recent.append(node.served)
         node.sessions = {v: t for v, t in node.sessions.items() if self.now - t < LOOKBACK}
         node.loads.append(node.asked / node.budget / max(1, len(self.admitted(node))))
--- a/sabledyke/settings.py
+++ b/sabledyke/settings.py
@@ -100,6 +100,7 @@
         cold_share=num("invariants.cold_share"),
         warm_up=num("invariants.warm_up"),
         fall_window=num("invariants.fall"),
+        tip_multiple=num("invariants.tip_multiple", 0.0),
         answer_slack=num("invariants.answer_slack"),
         order_rest=num("invariants.order_settle", 0.0),
         budget_window=num("invariants.look_back", 0.0),
--- a/sabledyke/state.py
+++ b/sabledyke/state.py
@@ -46,6 +46,8 @@
     window: float
     lat: float
     budget: float
+    asked: float = 0.0  # units asked of warm ones, over their last periods
+    served: float = 0.0  # and served of those inside their aims
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +101,7 @@
         self.rests: dict[int, float] = {}  # by key: until when it rests
         self.taken = deque[float]()  # when requests came
         self.extra = deque[float]()  # when further attempts left
+        self.usual = 0.0  # worth of a request, lately
         self.lossy = 0.0  # share of attempts whose answers got lost, lately
         self.alarm = inf  # when the next tick is due
         self.late = 0.0  # how late this batch may have come
