Spread calls for the list over the time that one discovery needs for the whole fleet

A trace of each call: new ones are answered 0.159 s apart, each fails after 2 s of waiting, and those given up are worked off all the same, so that callers who come again after 0.5 s keep the queue too long for good. At fault: `Scheduler.handle`, which asked at once, and `WATCH_AGAIN`, which knew nothing of how many hosts ask.

Now the first call, and the first wait after a failure, lie at random within 125 ms for each host (500 ms to 8 s).

--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -34,7 +34,7 @@
 PARTING = 0.5  # part of the time in which a draining node may be sent work that is made use of
 TIDY = 10000.0  # ms between looks at what can be forgotten, which has rested for as long
 TICK = 10.0  # ms between looks at what is held or out
-WATCH_AGAIN = 500.0, 8000.0  # ms: first and longest wait before the list is watched anew
+WATCH_AGAIN, WATCH_SPREAD = (500.0, 8000.0), 125.0  # ms: shortest and longest wait; for each host
 LINGERS = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
 WAKE, WATCH = 1, 2  # timer tokens
 TURN = {kind: turn for turn, kind in enumerate((api.NodeList, api.AnswerStarted, api.Attempted, api.Request))}
@@ -47,8 +47,8 @@
         super().__init__()
         self.s, self.random = settings, random.Random(seed)
         self.longest = [0.0] * len(settings.classes)  # the longest time a client gave a try, by class
-        self.watch_wait = WATCH_AGAIN[0]
         self.adopt(settings)
+        self.watch_wait = self.spread
 
     def adopt(self, settings: api.Settings) -> None:
         """Go by these settings, whose classes and plans keep their places; what was learnt stays."""
@@ -61,6 +61,9 @@
         # requests are many and small, and let too much through where they are few and large.
         self.period = max(PERIOD, HOST_PERIOD * settings.hosts) * self.aim
         self.silence = SILENCE * self.aim
+        # One discovery hears all hosts in turn, and works off also the calls that were given up meanwhile:
+        # where all start or fail at once, their calls must come over the time that it takes for all of them.
+        self.spread = min(max(WATCH_AGAIN[0], WATCH_SPREAD * settings.hosts), WATCH_AGAIN[1])
         self.best = max(c.worth for c in settings.classes) * max(p.worth_factor for p in settings.plans)
         for node in self.nodes.values():  # periods are counted in their own length
             node.period = int(self.now // self.period)
@@ -71,7 +74,7 @@
         self.now, self.late, self.out = now, max(0.0, now - self.alarm - TICK), []
         if self.born == -inf:
             self.born = now
-            self.out += [api.WatchList()] if self.s.asks_list else []
+            self.out += [api.SetTimer(WATCH, self.random.random() * self.spread)] if self.s.asks_list else []
         # A host that stood still finds everything at once: news counts before anything is judged or sent.
         for event in sorted(events, key=lambda e: TURN.get(type(e), len(TURN))):
             match event:
@@ -107,7 +110,7 @@
             self.out.append(api.SetTimer(WATCH, self.watch_wait * (0.5 + self.random.random())))
             self.watch_wait = min(2 * self.watch_wait, WATCH_AGAIN[1])
             return
-        self.watch_wait = WATCH_AGAIN[0]
+        self.watch_wait = self.spread
         for entry in news.entries:
             node = self.nodes.get(entry.node)
             if node is None or entry.started != node.entry.started:
@@ -175,7 +178,8 @@
         expected = asked * self.s.fall_window * self.s.hosts / len(self.ready[-1])
         seen = self.s.tip_multiple * warmth * min(1.0, like.served / like.asked) if like.asked else 0.0
         chance = LUCK * max(min(warmth, safe / expected), seen) * job.worth / self.usual
-        return job.luck < float(min(1.0, chance) ** (1 + sent / self.mean))  # the worthier, and the less it was sent
+        # The worthier the work and the less of it was sent lately, the better its chance.
+        return job.luck < float(min(1.0, chance) ** (1 + sent / self.mean))
 
     def take(self, ask: api.Request) -> None:
         if ask.id in self.jobs:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""What is fine at one host and harmful when all do it: many modules with seeds of their own, counted in sum."""
+"""What is fine at one host and harmful when all do it: many modules, each with its seed, counted in sum."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 from dataclasses import replace
 
 from sabledyke import interface as api
-from tests.helpers import SETTINGS, Rig, listing, node
+from sabledyke.rules import Scheduler
+from tests.helpers import SETTINGS, Rig, listing, node, of
 
 HOSTS, EVERY = 40, 400.0  # hosts, and ms between one's requests for the box that is looked at
 WORK = 2.0 / EVERY  # units a millisecond that each host asks of a box
@@ -61,3 +62,28 @@
         assert sent <= 1.5 * present * full, begin  # the rule: 2 times; and room for chance
     late = sum(u for at, u in units if 8000 <= at < 10000)
     assert late >= 0.2 * full  # half of it is warm by then; held to the least, it was 0.015
+
+
+def test_all_hosts_that_start_together_get_their_list_from_one_slow_discovery() -> None:
+    """Guards against calls that come at once and again at once: discovery works off those given up, too."""
+    takes, patience = 160.0, 2000.0  # ms of discovery's time for a call; after which a caller has had enough
+    rigs = [Rig(hosts=HOSTS, asks_list=True) for _ in range(HOSTS)]
+    free, failed, told = 0.0, 0, set[int]()
+    answers: list[tuple[float, int, bool]] = []  # when, which host, whether it is told
+    for i, rig in enumerate(rigs):
+        rig.scheduler = Scheduler(rig.scheduler.s, i)
+        rig.timers.clear()
+        rig.do(listing(node(1), kind=api.ListKind.CACHED))
+    for step in range(1000, 12000, 10):
+        for i, rig in enumerate(rigs):
+            calls = of(rig.wait(step - rig.now), api.WatchList)
+            for at, host, good in [a for a in answers if a[0] <= step and a[1] == i]:
+                answers.remove((at, host, good))
+                told |= {i} if good else set()
+                failed += not good
+                news = listing(kind=api.ListKind.DELTA) if good else api.NodeList(api.ListKind.FAILED, 0, ())
+                calls += of(rig.do(news), api.WatchList)
+            for _ in calls:
+                free = max(free, step) + takes
+                answers.append((min(free, step + patience), i, free <= step + patience))
+    assert len(told) == HOSTS and failed <= HOSTS / 4
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -194,6 +194,7 @@
 
 def test_watch_at_start_and_again_after_failure_with_backoff() -> None:
     rig = Rig(asks_list=True)
+    rig.wait(rig.scheduler.spread)
     assert len(of(rig.log, api.WatchList)) == 1
     waits = []
     for _ in range(4):
