Share new boxes by luck that blocks nobody, and keep new objects off failing boxes

Ruled out: that errors follow the host, the class or the time on a try (83% at each further try, at every host); CPU; the list.

Now what has no luck is refused at once with advice, what was sent too soon after another stands before nobody, odds fall with size and in the first window after a box is listed, and rise with warmth; new objects go to boxes from warmth 0.6 on and keep off those with errors; what was never heard gives way by half in 1 s.

--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -23,6 +23,7 @@
 RECENT, LATE_SHARE = 5, 0.25  # periods whose best sets the budget; share of answers late that "ran past aim"
 WINDOW_LOW, WINDOW_START, WINDOW_HIGH = 0.25, 12.0, 16.0  # in-flight cap, mean requests (start: all hosts)
 CALM, TIGHT, BACK_OFF = 0.5, 0.8, 0.9  # answer time over aim: the cap grows below, above shrinks by a factor
+MILD, UNHEARD = 0.6, 1000.0  # warmth that new objects need; as FADE, where the node was never heard
 KEEP = 0.99  # of the sums over nodes of a kind, with each node's period that is added
 SMOOTH, NEWS, FADE = 0.15, 4000.0, 10000.0  # weight of an answer; ms: news grows old, gives way by half
 CAP_POWER = 2.5  # work at x of the full worth may fill x ** (CAP_POWER * answer time / aim) of the cap
@@ -150,7 +151,7 @@
         # Guards against a fleet whose boxes are ever replaced: the budget of each would start anew.
         budget = max(START * self.mean, like.budget)
         node = Node(entry, budget, like.window, like.lat, int(self.now // self.period))
-        node.faded, node.young = self.now, entry.started or -inf
+        node.met, node.faded, node.young = self.now, self.now, entry.started or -inf
         node.recent, node.loads = deque(maxlen=RECENT), deque(maxlen=int(LOOKBACK / self.period) + 1)
         return node
 
@@ -159,27 +160,29 @@
         age = (self.now - self.s.fall_window - node.young) / self.s.warm_up
         return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * max(0.0, age))
 
-    def bears(self, job: Job, node: Node) -> bool:
-        """Rule 4: this host's even part of a young node's safe units; beyond it, chance shares them out.
+    def bears(self, job: Job, node: Node) -> tuple[float, float]:
+        """Rule 4: the chance that a young node may be sent this, at all and just now; 1 for this host's part.
 
         Few hosts have work for the node and none knows which: the chance keeps the work of all within what
-        the node bears if the others ask as much as this host does. All of them together have seen nodes of
-        its kind serve a part of what they asked, and it bears TIP times the warm part of that. Guards
-        against holding each new node to the least that any bears, which starves a fleet of new ones.
+        it bears, the rule's multiple of the warm part of what its kind was seen to serve of what was asked.
+        Guards against holding new nodes to the least that any bears, which starves a fleet of them.
         """
         warmth, like = self.warmth(node), self.kinds[node.entry.kind]
         if warmth >= 1:
-            return True
+            return 1.0, 1.0
         safe = self.s.cold_units * warmth / self.s.cold_share
         sent = sum(u for at, u in node.sends if at >= self.now - self.s.fall_window)
         if sent + job.ask.units <= safe / self.s.hosts:
-            return True
+            return 1.0, 1.0
         asked = len(self.taken) * self.mean / min(LOOKBACK, self.now - self.born + self.period)
         expected = asked * self.s.fall_window * self.s.hosts / len(self.ready[-1])
         seen = self.s.tip_multiple * warmth * min(1.0, like.served / like.asked) if like.asked else 0.0
-        chance = LUCK * max(min(warmth, safe / expected), seen) * job.worth / self.usual
-        # The worthier the work and the less of it was sent lately, the better its chance.
-        return job.luck < float(min(1.0, chance) ** (1 + sent / self.mean))
+        chance = min(1.0, LUCK * max(min(warmth, safe / expected), seen) * job.worth / self.usual)
+        # The smaller and the less was sent lately the better; what all hosts held for it must not come at one
+        # moment; and the warmer it is, the less chance decides.
+        fresh = 3 * max(0.0, 1 - (self.now - node.met) / self.s.fall_window)
+        size, cold = max(1.0, job.ask.units / self.mean), (1 - warmth) / (1 - self.s.cold_share)
+        return float(chance ** (cold * size)), float(chance ** (cold * (size + fresh + sent / self.mean)))
 
     def take(self, ask: api.Request) -> None:
         if ask.id in self.jobs:
@@ -204,7 +207,7 @@
         job = Job(ask, kind, volume, due, min(due, now - spent + kind.aim), reserved, self.random.random())
         job.ran = ask.ran
         job.worth = (1.0 if reserved else self.s.share_worth) * kind.worth * volume.plan.worth_factor
-        self.usual += SMOOTH * (job.worth - self.usual) if self.usual else job.worth
+        self.usual += (job.worth - self.usual) / len(self.taken)
         self.jobs[ask.id] = job
         if kind.ordered and ask.key:
             self.chains.setdefault(ask.key, deque()).append(job)
@@ -242,9 +245,10 @@
         if not ready:
             wait = self.now + 2 * TICK < job.soon and not self.spent(job)
             return self.limbo.append(job) if wait else self.refuse(job)
-        # A new object goes where it is served soonest; a silent or young node is the last choice.
+        # A new object goes where it is served soonest; a silent or cold node is the last choice.
         node = min(ready, key=lambda n: (
-            n.dark < inf or self.warmth(n) < 1, (n.window + n.inflight + len(n.held)) * n.lat / n.window,
+            n.dark < inf or self.warmth(n) < MILD or self.bears(job, n)[1] <= job.luck,
+            (n.window + n.inflight + len(n.held)) * n.lat / n.window / (1.01 - n.failing) / self.warmth(n),
             self.random.random(),
         ))  # fmt: skip
         self.roll(node)
@@ -302,7 +306,8 @@
 
     def roll(self, node: Node) -> None:
         """Close the period if it is over: move the budget, note the load for the admission test."""
-        kept, like = 0.5 ** ((self.now - node.faded) / FADE), self.kinds[node.entry.kind]
+        like = self.kinds[node.entry.kind]
+        kept = 0.5 ** ((self.now - node.faded) / (FADE if node.learnt or not like.served else UNHEARD))
         node.window = like.window + kept * (node.window - like.window)
         node.lat, node.faded = like.lat + kept * (node.lat - like.lat), self.now
         passed = int(self.now // self.period) - node.period
@@ -329,15 +334,13 @@
         """May this node be sent this request now?"""
         units = job.ask.units
         if node.dark < inf:
-            return self.now >= node.trial and self.bears(job, node)
+            return self.now >= node.trial
         if node.used and node.used + units > node.budget:
             return False
         # The in-flight cap for this job: the less it earns and the slower the node answers, the smaller.
         cap = node.window * float((job.worth / self.best) ** (CAP_POWER * node.lat / self.aim))
         spaced = not node.sends or self.now - node.sends[-1][0] >= node.lat * self.mean / cap
-        if node.inflight + units > cap and (node.inflight or not spaced):
-            return False  # a cap under one request spaces them
-        return self.bears(job, node)
+        return node.inflight + units <= cap or not node.inflight and spaced  # under one request it spaces
 
     def turn(self, job: Job, node: Node) -> bool:
         """May this request be sent at all now: repeats, order and limit?"""
@@ -358,10 +361,11 @@
         now, blocked, ahead, kept = self.now, -inf, 0.0, list[Job]()
         held, node.held = sorted((j for j in node.held if not j.over), key=lambda j: j.due), []
         for job in held:
-            turn = job.worth > blocked and self.turn(job, node)
-            if now + node.lat / 2 > job.soon:  # it can't win any more
+            turn, (chance, at_once) = job.worth > blocked and self.turn(job, node), self.bears(job, node)
+            # It can't win any more; or has no luck at a young node, where it would only stand before others.
+            if now + node.lat / 2 > job.soon or chance <= job.luck and not job.sent:
                 self.refuse(job, ahead * node.lat / node.window)
-            elif turn and self.room(job, node):
+            elif (turn := turn and at_once > job.luck) and self.room(job, node):
                 self.send(job, node)
             else:
                 blocked = job.worth if turn else blocked  # only worthier work may pass it
@@ -449,6 +453,8 @@
         if how in LINGERS or how is Outcome.ERROR:
             job.ran = job.ran or (sent_at, node.entry)
         if how in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
+            weight = max(SMOOTH, 1 - exp((node.heard - self.now) / NEWS))
+            node.failing += weight * ((how is Outcome.ERROR) - node.failing)
             self.hear(node)
         if how is Outcome.OK:
             # While this host stood still, the answer may have been waiting for it.
--- a/sabledyke/state.py
+++ b/sabledyke/state.py
@@ -61,6 +61,7 @@
     period: int
     learnt: float = 0.0  # when an answer time last came in
     faded: float = 0.0  # until when old news has given way
+    met: float = 0.0  # when it was first listed, or listed anew
     young: float = -inf  # since when its capacity is at least the cold share
     used: float = 0.0  # units sent in this period
     asked: float = 0.0  # units that came in this period, or were held over
@@ -77,6 +78,7 @@
     sends: deque[tuple[float, float]] = field(default_factory=deque)  # within the fall window
     heard: float = -inf
     tries: int = 0  # attempts since
+    failing: float = 0.0  # part of its answers that were errors, lately
     overtaken: float = -inf  # attempts sent before this were overtaken by an answered one
     eased: float = -inf  # when the window last shrank
     dark: float = inf  # since when it gives no sign of life
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 
@@ -26,6 +27,17 @@
     return rigs
 
 
+class Draws(random.Random):
+    """Gives these numbers first."""
+
+    def __init__(self, *first: float) -> None:
+        super().__init__(7)
+        self.first = list(first)
+
+    def random(self) -> float:
+        return self.first.pop(0) if self.first else super().random()
+
+
 def played(rigs: list[Rig], ms: float, act: Callable[[Rig, float], None]) -> Iterator[float]:
     """All hosts' clocks moved on together, each acting on it at its own offset; yields the time so far."""
     start = max(rig.now for rig in rigs)
@@ -87,3 +99,40 @@
                 free = max(free, step) + takes
                 answers.append((min(free, step + patience), i, free <= step + patience))
     assert len(told) == HOSTS and failed <= HOSTS / 4
+
+
+def test_what_has_no_luck_at_a_young_box_does_not_stand_before_what_has() -> None:
+    """Guards against one unlucky request of great worth holding up all others until its aim is over."""
+    rig = fleet(cold_units=3.0, tip_multiple=2.0, warm_up=17000.0)[0]
+    rig.do(listing(node(3, shard=1, started=rig.now - 9000), node(2), kind=api.ListKind.FULL))
+    rig.wait(SETTINGS.fall_window)
+    rig.scheduler.random = Draws(0.99, 0.5, 0.0)  # luck, a draw between boxes, luck
+    unlucky, lucky = rig.ask(), rig.ask()
+    assert rig.sends(unlucky) == 0 and of(rig.answers(unlucky), api.Refuse)[0].retry_after > 0
+    assert rig.sends(lucky) == 1
+
+
+def test_new_objects_keep_off_a_box_that_answers_with_errors() -> None:
+    """Guards against a box that fails at once, and so looks quick, drawing all that may go anywhere."""
+    rig = Rig(node(1), node(2), hosts=HOSTS)
+    for where, how, took in ((1, api.Outcome.ERROR, 2), (2, api.Outcome.OK, 40)):
+        rid = rig.ask(shard=where)
+        rig.end(rid, how, took, where, over=True)
+    rig.scheduler.nodes[node(1).node].lat = rig.scheduler.nodes[node(2).node].lat / 2
+    for _ in range(5):
+        rig.wait(400)
+        rid = rig.ask(shard=-1)
+        assert rig.sent[-1][2] == node(2).node
+        rig.end(rid, took=40, where=2)
+
+
+def test_a_box_not_heard_yet_is_taken_for_what_its_kind_shows() -> None:
+    """Guards against refusing at idle boxes for as long as a host has not happened to ask them anything."""
+    rig = Rig(node(1), node(2), hosts=HOSTS)
+    for _ in range(40):
+        rig.end(rig.ask(), took=20)
+        rig.wait(50)
+    like, unheard = rig.scheduler.kinds[0], rig.scheduler.nodes[node(2).node]
+    guess = unheard.lat - like.lat
+    rig.ask(shard=2)
+    assert unheard.lat - like.lat < guess / 3  # 2 s later; what was heard gives way by half in 10 s
