Read load reports under the settings' names as well as the simulator's

Seen in a trace of the larger fleet's answers: every box says `Srv-Load: TEXT concurrent=..., mean_ms=...`, the settings' own names, while `Reader._load` looked for `inflight` and `latency_ms` alone; of 10,338 answers none gave a report. Either name is read now. The module makes no use of reports yet, so nothing else changes.

The test fails before this for the settings' names.

--- a/sabledyke/protocol/gateway.py
+++ b/sabledyke/protocol/gateway.py
@@ -30,7 +30,7 @@
         self._settings = settings
         self._classes = {c.name: i for i, c in enumerate(settings.classes)}
         self._plans = {p.name: i for i, p in enumerate(settings.plans)}
-        self._fields = [_REPORT.get(name, name) for name in settings.report_fields]
+        self._fields = [(name, _REPORT.get(name, name)) for name in settings.report_fields]
 
     def work(self, message: Message) -> Work:
         """A client's request; an HttpError says what is wrong with it."""
@@ -85,7 +85,8 @@
             return ()
         try:
             said = dict(p.strip().partition("=")[::2] for p in text.removeprefix("TEXT").split(","))
-            return tuple(float(said[name]) for name in self._fields)
+            # Boxes were seen to use the settings' names and the simulator's, and never both.
+            return tuple(float(said[name if name in said else other]) for name, other in self._fields)
         except (KeyError, ValueError):
             return ()
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -102,6 +102,13 @@
     assert reader.ended(Message(status=200, headers=strange)).may_have_run
 
 
+@pytest.mark.parametrize("text", ["TEXT concurrent=7, mean_ms=66.5", "TEXT inflight=7, latency_ms=66.5"])
+def test_a_load_report_is_read_under_the_settings_names_and_the_simulators(text: str) -> None:
+    """Guards against reports that are never read: boxes were seen to use either."""
+    reader = gateway.Reader(replace(SETTINGS, report_fields=("concurrent", "mean_ms")))
+    assert reader.ended(Message(status=200, headers={"srv-load": text})).load == (7.0, 66.5)
+
+
 @FIXED
 @given(SIZES)
 def test_nvme_sessions_are_the_same_in_any_cuts(sizes: list[int]) -> None:
