Listen with SO_REUSEPORT so that a new version starts beside the one in service

Change: every door sets SO_REUSEPORT; after SIGTERM all connections are closed at the longest deadline (3 s at most) plus 0.5 s, before SIGKILL at plus 0.7 s.

--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -213,6 +213,9 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Guards against a new version that cannot start while the old one serves: both listen, and the
+        # kernel spreads new connections over them until the old one closes its door.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self._socket.setblocking(False)
         self._socket.bind(address)
         self._socket.listen(BACKLOG)
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -38,6 +38,7 @@
 
 LINGER = 0.6  # seconds after SIGTERM in which clients may still come: PROTOCOL says 0.2 to 0.4
 HALF_ASKED = 1.0  # seconds after that for what is half asked to come in whole
+BEFORE_KILL = 0.5  # seconds past the longest deadline (3 s at most) after SIGTERM to close all; SIGKILL: 0.7
 ANSWERS = 0.25  # part of the memory for answers on their way
 BOXES = 3  # one descriptor in so many is for connections to boxes, the others are for clients
 SPARE = 32  # descriptors kept for listening, discovery, associations, the log and what Python opens
@@ -171,6 +172,7 @@
 
     async def finish(self) -> None:
         """Keep the doors open for those on their way, answer all that was taken, and close."""
+        told = self._loop.time()
         for front in self.fronts:
             front.leaving = True
         await asyncio.sleep(self._linger)
@@ -181,10 +183,12 @@
         began, longest = self._loop.time(), max(c.deadline for c in self.config.settings.classes) / 1000
         while any(front.clients for front in self.fronts):
             waited = self._loop.time() - began
+            # Guards against being killed with answers half written: SIGKILL would cut them off unseen.
+            late = self._loop.time() - told > min(longest, 3.0) + BEFORE_KILL
             for front in self.fronts:
                 # Guards against clients that never finish asking, and against those that never read.
                 front.close_idle(half_asked=waited > HALF_ASKED)
-                if waited > longest + HALF_ASKED and not self.core.unanswered:
+                if late or waited > longest + HALF_ASKED and not self.core.unanswered:
                     front.close()
             await asyncio.sleep(0.01)
         self.watch.watch(False)
