--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -33,6 +33,7 @@
     memory: int  # bytes
     known: Listing | None
     settings: api.Settings
+    console: tuple[str, int] | None = None  # where operators call, if anywhere
     file: Mapping[str, object] = field(default_factory=dict)  # name and addresses, as the file has them ...
     words: Mapping[str, str] = field(default_factory=dict)  # ... and as they are in force
 
@@ -85,6 +86,8 @@
     # Guards against a module that counts on more open requests than the descriptors allow.
     settings = replace(settings, most_open=min(settings.most_open, sockets / CLIENTS))
     words = {name: said(name) for name in ("name", "listen", "discovery")}
+    # The console's door stays where it was opened: a reload that moved it would leave operators nowhere.
+    console = before.console if before else _console(environ.get(PREFIX + "CONSOLE") or data.get("console"))
     memory = limits.get("memory_mb", 64)
     if not isinstance(memory, int | float) or not 1 <= memory < 1 << 20:
         raise ConfigError(f"limits.memory_mb must be a number from 1 up, not {memory!r}")
@@ -97,6 +100,16 @@
         memory=int(memory * 1024 * 1024),
         known=None if known is None else read(known, settings, cached=True),
         settings=settings,
+        console=console,
         file={name: data.get(name) for name in words},
         words=words,
     )
+
+
+def _console(said: object) -> tuple[str, int] | None:
+    """The console's address, if one is said; a ConfigError where it is not one."""
+    if said is None:
+        return None
+    if not isinstance(said, str) or not said:
+        raise ConfigError(f"console must be an address as host:port, not {said!r}")
+    return address(said)
--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -16,6 +16,7 @@
 
 from sabledyke import interface as api
 from sabledyke import log
+from sabledyke.figures import Figures
 from sabledyke.interface import Outcome
 from sabledyke.invariants import check
 from sabledyke.repeats import may_repeat
@@ -114,6 +115,7 @@
     attempts: int = 0
     out: dict[int, tuple[float, api.NodeEntry]] = field(default_factory=dict)
     ran: tuple[float, api.NodeEntry] | None = None  # first send that may have run, and where
+    kind: str = ""  # its class's name as it came: a new configuration does not move it
 
 
 class Core:
@@ -131,11 +133,13 @@
         self._open: dict[int, _Open] = {}
         self._ids = 0
         self.nodes: dict[api.NodeId, api.NodeEntry] = {}
+        self.figures = Figures()
+        self.owed = 0  # requests taken that have no final answer yet
 
     @property
     def unanswered(self) -> int:
         """Requests that are still owed an answer."""
-        return sum(not r.answered for r in self._open.values())
+        return self.owed
 
     def adopt(self, settings: api.Settings) -> None:
         """Go by new settings from now on; what was taken stays, under the deadlines it came with."""
@@ -147,7 +151,9 @@
         self._ids += 1
         rid = self._ids
         deadline = now + work.remaining
-        self._open[rid] = _Open(work, deadline, done, ran=work.ran)
+        kind = self.settings.classes[work.class_].name
+        self._open[rid] = _Open(work, deadline, done, ran=work.ran, kind=kind)
+        self.owed += 1
         heapq.heappush(self._timers, (deadline - GUARD, -1, rid))
         self._event(api.Request(
             rid, work.class_, work.plan, work.key, work.remaining, work.volume, work.units, work.shard,
@@ -159,7 +165,7 @@
         """The client is gone: nothing is owed any more."""
         request = self._open.get(rid)
         if request is not None and not request.answered:
-            request.answered = True
+            request.answered, self.owed = True, self.owed - 1
             self._event(api.Departed(rid))
             self._forget(rid)
 
@@ -170,6 +176,7 @@
             return
         assert request is not None
         sent, node = request.out.pop(number)
+        self.figures.attempted(end.outcome, end.may_have_run)
         if end.may_have_run:
             request.ran = request.ran or (sent, node)
         if end.outcome is Outcome.OK and not request.answered:
@@ -291,7 +298,8 @@
     def _answer(self, rid: int, answer: Answer) -> None:
         request = self._open[rid]
         check(not request.answered, "one final answer", f"request {rid}")
-        request.answered = True
+        request.answered, self.owed = True, self.owed - 1
+        self.figures.answered(answer.verdict.value, request.kind)
         request.done(answer)
 
     def _forget(self, rid: int) -> None:
--- /dev/null
+++ b/sabledyke/figures.py
@@ -0,0 +1,76 @@
+"""The one place where the scheduler's figures are counted, and their line form.
+
+Told by the core of each final answer and of each attempt whose last byte was written, and by the server of
+each configuration taken or turned down; gauges are read from what is given when the figures are asked for.
+It knows no socket, clock or wire. Counts start at 0 when the process starts and only grow.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from math import inf
+
+from sabledyke import interface as api
+from sabledyke.interface import Outcome
+from sabledyke.state import Node
+
+# What a final answer's verdict is counted as (see ``core.Verdict``).
+VERDICTS = {"served": "success", "refused": "overload", "failed": "error"}
+# Attempts whose last byte certainly never reached the box, or that were never sent at all.
+UNSENT = (Outcome.NO_CONNECTION, Outcome.MOOT)
+# Above this part of its last outcomes failing, a ready box counts as avoided.
+FAILING = 0.5
+
+
+class Figures:
+    """Counts of one process's life; class names as the request came with them."""
+
+    def __init__(self) -> None:
+        self.answers: Counter[tuple[str, str]] = Counter()  # (verdict's figure, class) -> requests
+        self.dispatches = 0  # attempts written whole to boxes
+        self.reloads: Counter[str] = Counter()  # "success" or "failure" -> files on SIGHUP
+
+    def answered(self, verdict: str, class_name: str) -> None:
+        """A request's one final answer; ``verdict`` is a ``Verdict`` value."""
+        self.answers[VERDICTS[verdict], class_name] += 1
+
+    def attempted(self, outcome: Outcome, may_have_run: bool) -> None:
+        """An attempt's one outcome: counted where its last byte was written."""
+        if outcome not in UNSENT and (outcome is not Outcome.CANCELLED or may_have_run):
+            self.dispatches += 1
+
+    def reloaded(self, taken: bool) -> None:
+        """A file read on SIGHUP was taken, or turned down whole."""
+        self.reloads["success" if taken else "failure"] += 1
+
+    def lines(
+        self, classes: Iterable[str], concurrent: int, listed: Iterable[api.NodeEntry], avoided: int
+    ) -> list[str]:
+        """All figures as ``svc.NAME:VALUE|c`` (counts) and ``|g`` (gauges), one a line.
+
+        ``classes`` are those in force, each shown from 0; a class no longer in force stays shown while it
+        has counts. ``avoided`` is how many ready boxes the module hears nothing from or sees failing.
+        """
+        names = dict.fromkeys([*classes, *(c for _, c in self.answers)])
+        out = [f"svc.{what}.{c}:{self.answers[what, c]}|c" for c in names for what in VERDICTS.values()]
+        entries = list(listed)
+        disabled = sum(e.state is not api.NodeState.READY for e in entries) + avoided
+        out += [
+            f"svc.dispatches:{self.dispatches}|c",
+            f"svc.concurrent:{concurrent}|g",
+            f"svc.targets:{len(entries)}|g",
+            f"svc.targets_disabled:{min(disabled, len(entries))}|g",
+            f"svc.reload_success:{self.reloads['success']}|c",
+            f"svc.reload_failure:{self.reloads['failure']}|c",
+        ]
+        return out
+
+
+def avoided(nodes: Iterable[Node]) -> int:
+    """Ready boxes of the module's that give no sign of life, or whose outcomes mostly fail.
+
+    Reads what the module keeps of each box and decides nothing.
+    """
+    ready = (n for n in nodes if n.entry.state is api.NodeState.READY)
+    return sum(n.dark < inf or n.failing > FAILING for n in ready)
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -24,6 +24,7 @@
 BATCH = 16  # connections that are accepted before those that are there have their turn
 GATE = 64  # handshakes of clients that may be unfinished at a time
 YOUNG = 0.05  # seconds in which a new connection is spared where room must be made
+FIRST_WORDS = 0.3  # seconds in which a new connection is spared by an end or a drain: its request may come
 
 
 class Client(ABC):
@@ -81,6 +82,7 @@
         self.reading = inf  # seconds for a client to take in an answer
         self.leaving = False  # the program ends: answers say so, and connections end with them
         self.closing = False  # nobody new is let in any more
+        self.quiesced = False  # operators drain it: health says no, and connections end with their answers
         self.clients: OrderedDict[Client, None] = OrderedDict()  # the one used last is last
         self._sweeping: asyncio.TimerHandle | None = None
 
@@ -185,8 +187,15 @@
             self.clients.move_to_end(client)
 
     def close_idle(self, *, half_asked: bool = False) -> None:
-        """Close the connections on which nothing is asked; also those on which something is half asked."""
+        """Close the connections on which nothing is asked; also those on which something is half asked.
+
+        Guards against turning back unheard a request whose connection was just accepted: a client writes
+        only once it is connected, so a new connection is spared for a moment.
+        """
+        young = asyncio.get_running_loop().time() - FIRST_WORDS
         for client in list(self.clients):
+            if client.fresh and client.since > young and not half_asked:
+                continue
             if client.idle and streams.quiet(client.stream) or half_asked and not client.owed:
                 client.close()
 
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -86,7 +86,7 @@
         self._front.touch(self)
         if message.target.partition("?")[0] == HEALTH:
             last = self._last(message)
-            self._write(encode_response(200, close=last), last)
+            self._write(encode_response(503 if self._front.quiesced else 200, close=last), last)
             return
         work = self._reader.work(message)
         if not streams.permits(self.stream, work.volume):
@@ -103,7 +103,15 @@
         self._rid = self._submit(work, done)
 
     def _last(self, message: Message) -> bool:
-        return self._front.leaving or self._front.crowded or not message.keep_alive
+        """Whether this answer ends its connection.
+
+        Guards against turning back what a client has already sent in a drain or at the end: requests that
+        came one after the other on the connection are answered first, and the last answer closes it.
+        """
+        front = self._front
+        if front.crowded or not message.keep_alive:
+            return True
+        return (front.leaving or front.quiesced) and self._parser.idle
 
     def _write(self, data: bytes, last: bool) -> None:
         self._writing, self.since = True, asyncio.get_running_loop().time()
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -14,13 +14,16 @@
 from sabledyke import invariants, log
 from sabledyke.config import Config, ConfigError
 from sabledyke.core import Core, Ended, Transport, Work
+from sabledyke.figures import avoided
 from sabledyke.net import clock, streams
+from sabledyke.net.console import Console
 from sabledyke.net.front import ROOMY, Door, Front
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
 from sabledyke.net.parts import Done, Host, Part, Submit
 from sabledyke.net.pool import Address, Connect, Dial, Link, Pool, Report, plain
 from sabledyke.net.watch import Watch
+from sabledyke.protocol.console import Call
 from sabledyke.protocol.discovery import Listing
 from sabledyke.protocol.gateway import Ids, Reader
 
@@ -88,6 +91,8 @@
         self._listens = [config.listen, *(listen for _, listen in more)]
         self._share_out(config)
         self.doors: list[Door] = []
+        self.console = Console(self._call) if config.console else None
+        self._console_door: Door | None = None
 
     def _set_up_parts(self, operator: Operator | None) -> list[Part]:
         if operator is None:
@@ -137,6 +142,51 @@
         for front, listen in zip(self.fronts, self._listens, strict=True):
             self.doors.append(Door(listen, front.accept))
             log.say("start", f"{self.config.name} serves at {listen[0]}:{self.doors[-1].port}")
+        if self.console is not None and self.config.console is not None:
+            self._console_door = Door(self.config.console, self.console.accept)
+            where = f"{self.config.console[0]}:{self._console_door.port}"
+            log.say("start", f"{self.config.name} takes operators' calls at {where}")
+
+    @property
+    def console_port(self) -> int | None:
+        """Where the console listens, also where any port was asked for."""
+        return None if self._console_door is None else self._console_door.port
+
+    @property
+    def takes_clients(self) -> bool:
+        """The doors are open, and neither a drain nor the end sends clients away."""
+        return bool(self.doors) and not any(f.quiesced or f.leaving for f in self.fronts)
+
+    def quiesce(self) -> None:
+        """Send clients away: health says no, idle connections end now and busy ones with their answer."""
+        if not self.fronts[0].quiesced:
+            log.say("drain", f"{self.config.name} sends clients away, {self.core.unanswered} in work")
+        for front in self.fronts:
+            front.quiesced = True
+            front.close_idle()
+
+    def resume(self) -> None:
+        """Take clients again."""
+        if self.fronts[0].quiesced:
+            log.say("drain", f"{self.config.name} takes clients again")
+        for front in self.fronts:
+            front.quiesced = False
+
+    def figures(self) -> list[str]:
+        """The figures in their line form."""
+        core = self.core
+        classes = [c.name for c in core.settings.classes]
+        avoiding = avoided(core.scheduler.nodes.values())
+        return core.figures.lines(classes, core.unanswered, core.nodes.values(), avoiding)
+
+    def _call(self, call: Call) -> tuple[int, bytes]:
+        """An operator's call: its status and body."""
+        if call is Call.HEALTH:
+            return (200, b"yes\n") if self.takes_clients else (503, b"no\n")
+        if call is Call.STATS:
+            return 200, "".join(line + "\n" for line in self.figures()).encode()
+        self.quiesce() if call is Call.QUIESCE else self.resume()
+        return 200, b"ok\n"
 
     def reload(self) -> None:
         """Take on a new configuration, or none of it; what was taken and learnt stays.
@@ -151,8 +201,10 @@
                 self.doors[0].close()
                 self.doors[0] = door
         except (ConfigError, OSError) as fault:
+            self.core.figures.reloaded(False)
             log.say("reload", f"the new configuration is not used: {fault}")
             return
+        self.core.figures.reloaded(True)
         self.config = new
         self.core.adopt(new.settings)
         self._reader.adopt(new.settings)
@@ -193,6 +245,9 @@
             await asyncio.sleep(0.01)
         self.watch.watch(False)
         self.pool.close()
+        if self._console_door is not None and self.console is not None:
+            self._console_door.close()
+            self.console.close()
         for part in self.parts:
             await part.close()
         if self._timer is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -53,9 +53,9 @@
 class Rig:
     """A server with an HTTP box (shard 0) and an NVMe box (shard 1), both fronts open."""
 
-    def __init__(self, store: str = "") -> None:
+    def __init__(self, store: str = "", console: tuple[str, int] | None = None) -> None:
         self.http, self.nvme, self.discovery = HttpBox(), NvmeBox(), Discovery()
-        self._store = store
+        self._store, self._console = store, console
 
     async def __aenter__(self) -> Rig:
         for service in (self.http, self.nvme, self.discovery):
@@ -67,7 +67,7 @@
         extras = replace(operator.read(text, DEPLOYMENT), listen=("127.0.0.1", 0))
         known = discovery.read(self.discovery.listing(), DEPLOYMENT, cached=True)
         here = ("127.0.0.1", self.discovery.port)
-        self.config = Config("n0", ("127.0.0.1", 0), here, 1, 256, 1 << 22, known, DEPLOYMENT)
+        self.config = Config("n0", ("127.0.0.1", 0), here, 1, 256, 1 << 22, known, DEPLOYMENT, self._console)
         self.server = Server(self.config, extras, 0.1, self.reread)
         await self.server.open()
         self.server.start()
@@ -90,9 +90,9 @@
         assert not invariants.broken
 
 
-def play(story: Callable[[Rig], Awaitable[None]], store: str = "") -> None:
+def play(story: Callable[[Rig], Awaitable[None]], store: str = "", console: bool = False) -> None:
     async def run() -> None:
-        async with asyncio.timeout(30), Rig(store) as rig:
+        async with asyncio.timeout(30), Rig(store, ("127.0.0.1", 0) if console else None) as rig:
             await story(rig)
 
     asyncio.run(run())
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -63,6 +63,15 @@
     assert got.seed == 0x8C1F and got.known is not None and got.known.news.version == 41
 
 
+def test_the_console_is_where_the_environment_or_the_file_says(tmp_path: Path) -> None:
+    assert config.load(setup(tmp_path)).console is None
+    assert config.load(setup(tmp_path, console="127.0.0.1:7000")).console == ("127.0.0.1", 7000)
+    got = config.load(setup(tmp_path, console="127.0.0.1:7000") | {"GW_CONSOLE": "127.0.0.1:7100"})
+    assert got.console == ("127.0.0.1", 7100)
+    setup(tmp_path, console="127.0.0.1:7200")
+    assert config.load(setup(tmp_path), got).console == ("127.0.0.1", 7100)  # a reload does not move it
+
+
 def test_read_again_what_changed_in_the_file_wins(tmp_path: Path) -> None:
     environ = setup(tmp_path) | {"GW_DISCOVERY": "127.0.0.1:8600"}
     got = config.load(environ)
@@ -77,6 +86,7 @@
     ({"seed": "x"}, "seed"), ({"limits": {"sockets": 3}}, "limits.sockets"), ({"known": []}, "list"),
     ({"settings": None}, "settings"),
     ({"settings": nested() | {"siblings": 0}}, "hosts"), ({"discovery": "nowhere"}, "nowhere"),
+    ({"console": 8}, "console"), ({"console": "no-port"}, "no-port"),
 ])  # fmt: skip
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, changes: dict[str, Any], says: str) -> None:
     done = subprocess.run(
