Let new settings add and remove classes, which keep their places for open requests

Change: settings.merge keeps every class in its place, retires those a file no longer names (the reader takes no new request for them), appends new ones, 64 at most; the module's longest waits by class grow with the classes. A box counts as avoided only where the module hears nothing from it, not where it answers errors. Tests: merge by itself, a class added then removed with a request open through both, a bad file counted once, each kind of bad file turned down whole.

--- a/sabledyke/figures.py
+++ b/sabledyke/figures.py
@@ -19,8 +19,6 @@
 VERDICTS = {"served": "success", "refused": "overload", "failed": "error"}
 # Attempts whose last byte certainly never reached the box, or that were never sent at all.
 UNSENT = (Outcome.NO_CONNECTION, Outcome.MOOT)
-# Above this part of its last outcomes failing, a ready box counts as avoided.
-FAILING = 0.5
 
 
 class Figures:
@@ -50,7 +48,7 @@
         """All figures as ``svc.NAME:VALUE|c`` (counts) and ``|g`` (gauges), one a line.
 
         ``classes`` are those in force, each shown from 0; a class no longer in force stays shown while it
-        has counts. ``avoided`` is how many ready boxes the module hears nothing from or sees failing.
+        has counts. ``avoided`` is how many ready boxes the module hears nothing from.
         """
         names = dict.fromkeys([*classes, *(c for _, c in self.answers)])
         out = [f"svc.{what}.{c}:{self.answers[what, c]}|c" for c in names for what in VERDICTS.values()]
@@ -68,9 +66,9 @@
 
 
 def avoided(nodes: Iterable[Node]) -> int:
-    """Ready boxes of the module's that give no sign of life, or whose outcomes mostly fail.
+    """Ready boxes of the module's that give no sign of life: it sends them single trials alone.
 
-    Reads what the module keeps of each box and decides nothing.
+    Reads what the module keeps of each box and decides nothing. A box that answers with errors is not
+    counted: the module still sends it work, only less of it.
     """
-    ready = (n for n in nodes if n.entry.state is api.NodeState.READY)
-    return sum(n.dark < inf or n.failing > FAILING for n in ready)
+    return sum(n.entry.state is api.NodeState.READY and n.dark < inf for n in nodes)
--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -132,6 +132,7 @@
     connect_timeout: float = 250.0  # a connection not up by then has failed
     tip_multiple: float = 0.0  # a cold node bears so many times what it can do; 0 for not told
     idle_timeout: float = 15000.0  # nodes close connections idle for this long
+    retired: frozenset[str] = frozenset()  # classes kept in their places for open requests, taking no more
 
     def __post_init__(self) -> None:
         """Raise a ValueError that names the first value no site can mean."""
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -8,6 +8,7 @@
 import importlib
 import signal
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from sabledyke import interface as api
@@ -26,6 +27,7 @@
 from sabledyke.protocol.console import Call
 from sabledyke.protocol.discovery import Listing
 from sabledyke.protocol.gateway import Ids, Reader
+from sabledyke.settings import SettingsError, merge
 
 if TYPE_CHECKING:  # loaded only where it is named: a plain start must be quick
     from sabledyke.operator import Operator
@@ -175,7 +177,7 @@
     def figures(self) -> list[str]:
         """The figures in their line form."""
         core = self.core
-        classes = [c.name for c in core.settings.classes]
+        classes = [c.name for c in core.settings.classes if c.name not in core.settings.retired]
         avoiding = avoided(core.scheduler.nodes.values())
         return core.figures.lines(classes, core.unanswered, core.nodes.values(), avoiding)
 
@@ -196,11 +198,12 @@
         try:
             new = self._reread(self.config)
             _check_like(self.config.settings, new.settings)
+            new = replace(new, settings=merge(self.config.settings, new.settings))
             if new.listen != self.config.listen and self.doors:
                 door = Door(new.listen, self.fronts[0].accept)
                 self.doors[0].close()
                 self.doors[0] = door
-        except (ConfigError, OSError) as fault:
+        except (ConfigError, SettingsError, OSError) as fault:
             self.core.figures.reloaded(False)
             log.say("reload", f"the new configuration is not used: {fault}")
             return
@@ -306,7 +309,7 @@
 
 def _check_like(old: api.Settings, new: api.Settings) -> None:
     """What open requests and the module's knowledge are counted by must keep its names and places."""
-    for what in ("classes", "plans", "zones", "kinds"):
+    for what in ("plans", "zones", "kinds"):
         names = [[getattr(x, "name", x) for x in getattr(s, what)] for s in (old, new)]
         if names[0] != names[1]:
             raise ConfigError(f"the names of its {what} differ, which takes a restart")
--- a/sabledyke/protocol/gateway.py
+++ b/sabledyke/protocol/gateway.py
@@ -28,7 +28,7 @@
     def adopt(self, settings: api.Settings) -> None:
         """Read under these settings from now on."""
         self._settings = settings
-        self._classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self._classes = {c.name: i for i, c in enumerate(settings.classes) if c.name not in settings.retired}
         self._plans = {p.name: i for i, p in enumerate(settings.plans)}
         self._fields = [(name, _REPORT.get(name, name)) for name in settings.report_fields]
 
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections import deque
+from collections import defaultdict, deque
 from dataclasses import replace
 from math import ceil, exp, inf
 
@@ -47,7 +47,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__()
         self.s, self.random = settings, random.Random(seed)
-        self.longest = [0.0] * len(settings.classes)  # the longest time a client gave a try, by class
+        self.longest: defaultdict[int, float] = defaultdict(float)  # longest time a client gave, by class
         self.adopt(settings)
         self.watch_wait = self.spread
 
--- a/sabledyke/settings.py
+++ b/sabledyke/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 from math import inf
 
 from sabledyke import interface as api
@@ -27,6 +28,24 @@
         yield path, _plain(value)
 
 
+MOST_CLASSES = 64  # classes over the life of a process, retired ones included
+
+
+def merge(old: api.Settings, new: api.Settings) -> api.Settings:
+    """``new`` with its classes where ``old`` had them; those it no longer names stay, retired.
+
+    Open requests and all that is counted by class hold a class by its place: the place must not move
+    under them. A SettingsError where there would be more than ``MOST_CLASSES``.
+    """
+    given = {c.name: c for c in new.classes}
+    kept = tuple(given.pop(c.name, c) for c in old.classes)
+    classes = kept + tuple(given.values())
+    if len(classes) > MOST_CLASSES:
+        raise SettingsError(f"more than {MOST_CLASSES} classes since the start, which takes a restart")
+    named = {c.name for c in new.classes}
+    return replace(new, classes=classes, retired=frozenset(c.name for c in classes if c.name not in named))
+
+
 def _plain(value: object) -> str:
     return str(value).lower() if isinstance(value, bool) else str(value)
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,14 +6,17 @@
 from collections import Counter
 from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sabledyke import invariants
+from sabledyke.config import Config, ConfigError
 from sabledyke.net.console import MOST
 from sabledyke.net.server import Server
+from sabledyke.settings import MOST_CLASSES, SettingsError, merge
 from tests.standins import ask, http, read_http
-from tests.test_net import GET, INFO, PUT, Rig, held_back, play
+from tests.test_net import DEPLOYMENT, GET, INFO, PUT, Rig, held_back, play
 
 
 def test_a_new_version_takes_over_the_address_with_nothing_turned_back() -> None:
@@ -197,3 +200,61 @@
             writer.close()
 
     play(story, console=True)
+
+
+def test_merged_classes_keep_their_places_and_removed_ones_are_retired() -> None:
+    read, write = DEPLOYMENT.classes
+    added = replace(DEPLOYMENT, classes=(replace(write, deadline=500), read, replace(read, name="new")))
+    once = merge(DEPLOYMENT, added)
+    assert [c.name for c in once.classes] == ["read", "write", "new"] and not once.retired
+    assert once.classes[1].deadline == 500  # its effects change in its place
+    removed = merge(once, replace(DEPLOYMENT, classes=(replace(read, name="new"),)))
+    assert [c.name for c in removed.classes] == ["read", "write", "new"]
+    assert removed.retired == {"read", "write"}
+    back = merge(removed, DEPLOYMENT)
+    assert [c.name for c in back.classes] == ["read", "write", "new"] and back.retired == {"new"}
+    many = replace(DEPLOYMENT, classes=tuple(replace(read, name=f"c{n}") for n in range(MOST_CLASSES)))
+    with pytest.raises(SettingsError):
+        merge(DEPLOYMENT, many)
+
+
+def test_a_class_added_then_removed_binds_new_requests_and_spares_open_ones() -> None:
+    async def story(rig: Rig) -> None:
+        read, write = DEPLOYMENT.classes
+        asked, go = held_back(rig)
+        open_read = asyncio.create_task(ask(rig.port, GET.format(1, "before", INFO)))
+        await asked.wait()
+        rig.config = replace(rig.config, settings=replace(DEPLOYMENT, classes=(*DEPLOYMENT.classes,
+                             replace(read, name="fresh")), max_attempts=2))  # fmt: skip
+        rig.server.reload()
+        rig.http.answer = None
+        named = GET.format(1, "{}", INFO).replace("Req-Kind: read", "Req-Kind: fresh")
+        assert (await ask(rig.port, named.format("new-1")))[0] == 200
+        fewer = replace(DEPLOYMENT, classes=(write, replace(read, name="fresh")))
+        rig.config = replace(rig.config, settings=fewer)
+        rig.server.reload()
+        assert (await ask(rig.port, GET.format(1, "gone", INFO)))[0] == 400  # "read" takes no new request
+        assert (await ask(rig.port, named.format("new-2")))[0] == 200
+        go.set()
+        assert (await open_read)[0] == 200  # it kept its class through both
+        figures = stats((await call(rig.server.console_port, "GET", "/admin/stats"))[1])
+        assert figures["svc.success.fresh"] == 2 and figures["svc.success.read"] == 1
+        assert figures["svc.reload_success"] == 2 and rig.server.core.settings.max_attempts == 3
+
+    play(story, console=True)
+
+
+def test_a_bad_file_is_turned_down_whole_and_counted(capfd: pytest.CaptureFixture[str]) -> None:
+    async def story(rig: Rig) -> None:
+        def bad(_: object) -> Config:
+            raise ConfigError("config.json: setting deadline of read must be above 0, not -5.0")
+
+        rig.server._reread = bad
+        before = rig.server.core.settings
+        rig.server.reload()
+        assert rig.server.core.settings is before
+        assert capfd.readouterr().err.count("reload: the new configuration is not used") == 1
+        figures = stats((await call(rig.server.console_port, "GET", "/admin/stats"))[1])
+        assert (figures["svc.reload_failure"], figures["svc.reload_success"]) == (1, 0)
+
+    play(story, console=True)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -151,3 +151,30 @@
     program.terminate()
     _, said = program.communicate(timeout=20)
     assert program.returncode == 0 and said.endswith("invariants broken: none\n")
+
+
+def _cut(tmp_path: Path, text: bytes) -> None:
+    (tmp_path / "config.json").write_bytes(text)
+
+
+def _profile(**changes: Any) -> dict[str, Any]:
+    settings = nested()
+    settings["profiles"][0] |= changes
+    return settings
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda p: _cut(p, b""), lambda p: _cut(p, (p / "config.json").read_bytes()[:-40]),
+    lambda p: setup(p, settings={k: v for k, v in nested().items() if k != "ceilings"}),
+    lambda p: setup(p, settings=_profile(hard_limit=0)), lambda p: setup(p, settings=_profile(hard_limit=-5)),
+    lambda p: setup(p, settings=_profile(hard_limit="soon")),
+    lambda p: setup(p, settings=nested() | {"ceilings": nested()["ceilings"] | {"try_limit": 0}}),
+    lambda p: setup(p, settings=nested() | {"ceilings": nested()["ceilings"] | {"try_limit": "x"}}),
+])  # fmt: skip
+def test_a_file_read_again_is_turned_down_whole(tmp_path: Path, spoil: Any) -> None:
+    environ = setup(tmp_path)
+    before = config.load(environ)
+    spoil(tmp_path)
+    with pytest.raises(config.ConfigError) as fault:
+        config.load(environ, before)
+    assert "\n" not in str(fault.value) and str(fault.value).startswith(str(tmp_path))
