Renew a slow body's patience with each piece, and take answers that end with their close

Change: each read of a body renews its client's patience; a box's answer with no length ends with an orderly close of its connection (a reset or a fault is a broken answer that may have run; half a head or a short body is an error). Tests: a body in 8 pieces over four times its patience is served and one that stops gets 408; answers in random cuts are never whole before their end; a box that closes serves and one that resets does not.

--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -71,6 +71,10 @@
                     raise HttpError("more sent than one request at a time")
                 self._parser.feed(data)
                 self._next()
+                if self._rid is None and self._parser.in_body:
+                    # Guards against cutting off a body that comes slowly but comes: each piece of it
+                    # renews its patience; one that stops is given up as before.
+                    self.since = asyncio.get_running_loop().time()
         except streams.StreamClosedError:
             self.close()
         except HttpError as fault:
--- a/sabledyke/net/httplink.py
+++ b/sabledyke/net/httplink.py
@@ -43,7 +43,16 @@
         held = 0
         try:
             while True:
-                self._parser.feed(await self.inbox.read())
+                try:
+                    data = await self.inbox.read()
+                except streams.StreamClosedError as end:
+                    # Guards against taking a cut answer for a whole one: only an orderly end closes a body
+                    # that states no length; a reset or a fault broke it off, and it may have run.
+                    whole = self._parser.end() if end.real_error is None else None
+                    if whole is None:
+                        raise
+                    return whole
+                self._parser.feed(data)
                 answer = self._parser.next()
                 if answer is not None:
                     return answer
--- a/sabledyke/protocol/http.py
+++ b/sabledyke/protocol/http.py
@@ -47,6 +47,7 @@
         self._chunked = False
         self._trailer = -1  # bytes of trailer lines so far, once the last chunk is read
         self._interim = 0  # bytes of interim answers before this one
+        self._to_close = False  # an answer that states no length: its body ends with the connection
 
     def feed(self, data: bytes) -> None:
         """Take some bytes."""
@@ -59,6 +60,26 @@
         """Bytes that wait for the rest of their message."""
         return len(self._data) + (len(self._message.body) if self._message is not None else 0)
 
+    @property
+    def in_body(self) -> bool:
+        """A message's head is read and its body is coming."""
+        return self._message is not None
+
+    def end(self) -> Message | None:
+        """The connection ended in order: the answer whose body ends with it, or None where none does.
+
+        An HttpError where a message was cut off: half a head, or less of a body than it said.
+        """
+        message = self._message
+        if message is not None and self._to_close:
+            message.body, message.keep_alive = bytes(self._data), False
+            self._data.clear()
+            self._message, self._to_close = None, False
+            return message
+        if not self.idle:
+            raise HttpError("a message cut off by the end of its connection")
+        return None
+
     @property
     def idle(self) -> bool:
         """Nothing of a message has come in."""
@@ -74,7 +95,7 @@
         if self._chunked:
             if not self._chunks(message):
                 return None
-        elif len(self._data) < self._length:
+        elif self._to_close or len(self._data) < self._length:
             return None
         else:
             message.body = bytes(self._data[: self._length])
@@ -134,7 +155,7 @@
 
     def _framing(self, message: Message, old: bool) -> None:
         coding, length = message.headers.get("transfer-encoding"), message.headers.get("content-length")
-        self._chunked, self._trailer = False, -1
+        self._chunked, self._trailer, self._to_close = False, -1, False
         if coding is not None:
             if length is not None or coding.lower() != "chunked" or old:
                 raise HttpError("unsupported transfer coding")
@@ -147,8 +168,8 @@
                 raise HttpError("body too large")
         elif message.status in (0, 204, 304):
             self._length = 0
-        else:  # guards against serving what a broken connection cut off: it would look whole
-            raise HttpError("an answer that does not state its length")
+        else:  # ends with its connection; ``end`` tells an orderly end from one that broke it off
+            self._to_close = True
 
     def _chunks(self, message: Message) -> bool:
         while True:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import Counter
 from dataclasses import replace
 
@@ -12,8 +14,10 @@
 
 from sabledyke import invariants
 from sabledyke.config import Config, ConfigError
+from sabledyke.net import httpfront
 from sabledyke.net.console import MOST
 from sabledyke.net.server import Server
+from sabledyke.protocol.http import HttpError, Parser
 from sabledyke.settings import MOST_CLASSES, SettingsError, merge
 from tests.standins import ask, http, read_http
 from tests.test_net import DEPLOYMENT, GET, INFO, PUT, Rig, held_back, play
@@ -258,3 +262,67 @@
         assert (figures["svc.reload_failure"], figures["svc.reload_success"]) == (1, 0)
 
     play(story, console=True)
+
+
+def test_a_body_that_comes_slowly_but_comes_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(rig: Rig) -> None:
+        monkeypatch.setattr(httpfront, "ASKING", 0.2)
+        head = PUT.format(1, "slow", INFO + "Idempotency-Key: s\nContent-Length: 8\n").replace("\n", "\r\n")
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(head.encode())
+        for byte in b"12345678":  # 8 pieces over 0.8 s: four times its patience, never 0.2 s apart
+            await asyncio.sleep(0.1)
+            writer.write(bytes([byte]))
+        first, _, body = await read_http(reader)
+        assert first.startswith("HTTP/1.1 200") and body == b"12345678"
+        writer.write(head.replace("Req-Id: slow", "Req-Id: stops").encode() + b"1234")
+        assert (await reader.read()).startswith(b"HTTP/1.1 408")  # one that stops is given up
+        writer.close()
+
+    play(story)
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(st.binary(max_size=300), st.lists(st.integers(1, 50), max_size=8))
+def test_an_answer_that_ends_with_its_connection_is_whole_only_at_an_orderly_end(
+    body: bytes, cuts: list[int]
+) -> None:
+    whole = b"HTTP/1.1 200 OK\r\nX: y\r\n\r\n" + body
+    parser, at = Parser(responses=True), 0
+    for cut in [*cuts, len(whole)]:
+        parser.feed(whole[at : at + cut])
+        at += cut
+        assert parser.next() is None  # never whole before its end
+    message = parser.end()
+    assert message is not None and message.body == body and not message.keep_alive
+    for cut_off in (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1234", b"HTTP/1.1 200 OK\r\nX:"):
+        broken = Parser(responses=True)
+        broken.feed(cut_off)
+        assert broken.next() is None
+        with pytest.raises(HttpError):
+            broken.end()
+
+
+def test_a_box_that_closes_after_an_answer_without_length_serves_and_one_reset_does_not() -> None:
+    async def story(rig: Rig) -> None:
+        async def closes(writer: asyncio.StreamWriter) -> bytes | None:
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end")
+            await writer.drain()
+            writer.close()
+            return b""
+
+        rig.http.answer = closes
+        assert (await ask(rig.port, GET.format(1, "c", INFO)))[::2] == (200, b"until the end")
+
+        async def resets(writer: asyncio.StreamWriter) -> bytes | None:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\ncut")
+            await writer.drain()
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return b""
+
+        rig.http.answer = resets
+        assert (await ask(rig.port, GET.format(1, "r", INFO)))[0] in (500, 503)
+
+    play(story)
