Answer 100-continue, and say 413 for a body and 431 for a head over the limit

Need: clients that send Expect: 100-continue waited for nothing until their patience ran out, and bodies or heads over the limit got a plain 400.

--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -13,6 +13,8 @@
 from sabledyke.protocol.gateway import HEALTH, Ids, Reader, to_client
 from sabledyke.protocol.http import MAX_INPUT, HttpError, Message, Parser, encode_response
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 
 class HttpClient(Client):
     """A connection: a request at a time, each answered before the next is looked at."""
@@ -27,6 +29,7 @@
         self._rid: int | None = None  # the request in work
         self._writing = False
         self._waiting = 0  # bytes that came in since the last request was looked at
+        self._continued = False  # the request whose body comes was told to send it
 
     @property
     def idle(self) -> bool:
@@ -75,6 +78,10 @@
                     # Guards against cutting off a body that comes slowly but comes: each piece of it
                     # renews its patience; one that stops is given up as before.
                     self.since = asyncio.get_running_loop().time()
+                    if self._parser.expects and not self._continued:  # a client that waits to send it
+                        self._continued = True
+                        sent = asyncio.ensure_future(self.stream.write(CONTINUE))
+                        sent.add_done_callback(lambda f: f.cancelled() or f.exception())  # an end is no fault
         except streams.StreamClosedError:
             self.close()
         except HttpError as fault:
@@ -86,7 +93,7 @@
         message = self._parser.next()
         if message is None:
             return
-        self._waiting = 0
+        self._waiting, self._continued = 0, False
         self._front.touch(self)
         if message.target.partition("?")[0] == HEALTH:
             last = self._last(message)
--- a/sabledyke/protocol/http.py
+++ b/sabledyke/protocol/http.py
@@ -65,6 +65,12 @@
         """A message's head is read and its body is coming."""
         return self._message is not None
 
+    @property
+    def expects(self) -> bool:
+        """The message whose body is coming waits for an interim 100 before it sends it."""
+        message = self._message
+        return message is not None and message.headers.get("expect", "").lower() == "100-continue"
+
     def end(self) -> Message | None:
         """The connection ended in order: the answer whose body ends with it, or None where none does.
 
@@ -110,7 +116,7 @@
         end = self._data.find(b"\r\n\r\n", 0, MAX_HEAD)
         if end < 0:
             if len(self._data) >= MAX_HEAD:
-                raise HttpError("head too large")
+                raise HttpError("head too large", 431)
             return False
         first, *lines = bytes(self._data[:end]).split(b"\r\n")
         del self._data[: end + 4]
@@ -165,7 +171,7 @@
                 raise HttpError("malformed content length")
             self._length = int(length)
             if self._length > self._most:
-                raise HttpError("body too large")
+                raise HttpError("body too large", 413)
         elif message.status in (0, 204, 304):
             self._length = 0
         else:  # ends with its connection; ``end`` tells an orderly end from one that broke it off
@@ -192,7 +198,7 @@
                 raise HttpError("malformed chunk size")
             size = int(digits, 16)
             if len(message.body) + size > self._most:
-                raise HttpError("body too large")
+                raise HttpError("body too large", 413)
             if size == 0:
                 self._trailer = 0
                 del self._data[: end + 2]
@@ -207,8 +213,8 @@
 
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+    100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
     500: "Internal Server Error", 503: "Service Unavailable",
 }  # fmt: skip
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -326,3 +326,20 @@
         assert (await ask(rig.port, GET.format(1, "r", INFO)))[0] in (500, 503)
 
     play(story)
+
+
+def test_a_client_that_expects_100_continue_is_told_to_send_its_body() -> None:
+    async def story(rig: Rig) -> None:
+        head = PUT.format(1, "e", INFO + "Idempotency-Key: e\nExpect: 100-continue\nContent-Length: 5\n")
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(head.replace("\n", "\r\n").encode())
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"hello")
+        first, _, body = await read_http(reader)
+        assert first.startswith("HTTP/1.1 200") and body == b"hello"
+        too_large = head.replace("Content-Length: 5", f"Content-Length: {1 << 25}").replace("Id: e", "Id: f")
+        writer.write(too_large.replace("\n", "\r\n").encode())
+        assert (await reader.read()).startswith(b"HTTP/1.1 413")  # refused before its body is sent
+        writer.close()
+
+    play(story)
