--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -134,12 +134,11 @@
         self._ids = 0
         self.nodes: dict[api.NodeId, api.NodeEntry] = {}
         self.figures = Figures()
-        self.owed = 0  # requests taken that have no final answer yet
 
     @property
     def unanswered(self) -> int:
         """Requests that are still owed an answer."""
-        return self.owed
+        return sum(not r.answered for r in self._open.values())
 
     def adopt(self, settings: api.Settings) -> None:
         """Go by new settings from now on; what was taken stays, under the deadlines it came with."""
@@ -153,7 +152,6 @@
         deadline = now + work.remaining
         kind = self.settings.classes[work.class_].name
         self._open[rid] = _Open(work, deadline, done, ran=work.ran, kind=kind)
-        self.owed += 1
         heapq.heappush(self._timers, (deadline - GUARD, -1, rid))
         self._event(api.Request(
             rid, work.class_, work.plan, work.key, work.remaining, work.volume, work.units, work.shard,
@@ -165,7 +163,7 @@
         """The client is gone: nothing is owed any more."""
         request = self._open.get(rid)
         if request is not None and not request.answered:
-            request.answered, self.owed = True, self.owed - 1
+            request.answered = True
             self._event(api.Departed(rid))
             self._forget(rid)
 
@@ -298,7 +296,7 @@
     def _answer(self, rid: int, answer: Answer) -> None:
         request = self._open[rid]
         check(not request.answered, "one final answer", f"request {rid}")
-        request.answered, self.owed = True, self.owed - 1
+        request.answered = True
         self.figures.answered(answer.verdict.value, request.kind)
         request.done(answer)
 
--- a/sabledyke/net/console.py
+++ b/sabledyke/net/console.py
@@ -13,6 +13,7 @@
 
 from sabledyke import log
 from sabledyke.net import streams
+from sabledyke.net.front import accepted
 from sabledyke.protocol.console import MAX_CALL, Call, answer, route
 from sabledyke.protocol.http import HttpError, Message, Parser
 
@@ -43,8 +44,7 @@
             task.cancel()
         elif len(self._open) < MOST // 2:
             self.told = 0
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = streams.IOStream(sock, read_chunk_size=MAX_CALL)
+        stream = accepted(sock)
         task = asyncio.get_running_loop().create_task(self._serve(stream))
         self._open[task] = stream
         task.add_done_callback(lambda t: self._open.pop(t, None))
@@ -52,22 +52,21 @@
     async def _serve(self, stream: streams.IOStream) -> None:
         try:
             async with asyncio.timeout(PATIENCE):
-                await stream.write(self._answer(await _read(stream)))
+                await stream.write(await self._answer(stream))
         except (TimeoutError, streams.StreamClosedError):
             pass
         finally:
             stream.close()
 
-    def _answer(self, said: Message | HttpError) -> bytes:
+    async def _answer(self, stream: streams.IOStream) -> bytes:
         try:
-            if isinstance(said, HttpError):
-                raise said
-            call = route(said)
+            message = await _read(stream)
+            call = route(message)
         except HttpError as fault:
             log.say("console", f"a call was turned down: {fault}")
             return answer(fault.status)
         status, body = self._calls(call)
-        return answer(status, body, head=said.method == "HEAD")
+        return answer(status, body, head=message.method == "HEAD")
 
     def close(self) -> None:
         """End all connections."""
@@ -76,18 +75,15 @@
             task.cancel()
 
 
-async def _read(stream: streams.IOStream) -> Message | HttpError:
-    """One whole call, or what is wrong with it; a StreamClosedError where the caller leaves first."""
+async def _read(stream: streams.IOStream) -> Message:
+    """One whole call; an HttpError for what is wrong with it, a StreamClosedError where the caller leaves."""
     parser, held = Parser(), 0
-    try:
-        while True:
-            data = await stream.read_bytes(MAX_CALL, partial=True)
-            held += len(data)
-            if held > MAX_CALL:
-                raise HttpError("a call larger than any call")
-            parser.feed(data)
-            message = parser.next()
-            if message is not None:
-                return message
-    except HttpError as fault:
-        return fault
+    while True:
+        data = await stream.read_bytes(MAX_CALL, partial=True)
+        held += len(data)
+        if held > MAX_CALL:
+            raise HttpError("a call larger than any call")
+        parser.feed(data)
+        message = parser.next()
+        if message is not None:
+            return message
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -95,7 +95,7 @@
             return self._pass(sock, self.guard)
         if not self._room_for_one():
             return sock.close()
-        self._let_in(_stream(sock))
+        self._let_in(accepted(sock))
 
     def _pass(self, sock: socket.socket, guard: Guard) -> None:
         """Let a connection pass the guard; a client only afterwards, so that who is in stays in meanwhile.
@@ -106,7 +106,7 @@
             log.say("front", f"{len(self._at_the_gate)} {self.name} handshakes: a new one is closed")
             sock.close()
             return
-        stream = _stream(sock)
+        stream = accepted(sock)
 
         async def go() -> None:
             try:
@@ -210,7 +210,8 @@
         self.clients.pop(client, None)
 
 
-def _stream(sock: socket.socket) -> streams.IOStream:
+def accepted(sock: socket.socket) -> streams.IOStream:
+    """The stream of a connection that a door accepted."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return streams.IOStream(sock, read_chunk_size=streams.READ)
 
