Watch the local agent from the start where lists are pushed

Checked: with discovery pushed, settings.asks_list is false, so the module never sets its WATCH timer (rules.py, handle at birth) and never issues WatchList; on the simulator's wire news comes unasked, but on sockets net/server.py only watched when the core passed WatchList on, so no call ever reached the agent and neither drains nor new boxes were heard.

Change: net/watch.py starts watching at once where lists are pushed (the agent is local, costs nothing and what it holds counts as told), and takes a cut or failed watch up again after 50 ms, doubling to 0.4 s, without waiting for the module's back-off meant for a shared discovery. The server starts and stops the watch through it. A test with a scripted agent that cuts one call fails without the take-up.

--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -140,6 +140,7 @@
     def start(self) -> None:
         """Open the doors; what is known of the boxes is told first."""
         self._listed(self.config.known or Listing(api.NodeList(api.ListKind.CACHED, 0, ()), {}))
+        self.watch.start()
         self._turn()
         for front, listen in zip(self.fronts, self._listens, strict=True):
             self.doors.append(Door(listen, front.accept))
@@ -246,7 +247,7 @@
                 if late or waited > longest + HALF_ASKED and not self.core.unanswered:
                     front.close()
             await asyncio.sleep(0.01)
-        self.watch.watch(False)
+        self.watch.stop()
         self.pool.close()
         if self._console_door is not None and self.console is not None:
             self._console_door.close()
--- a/sabledyke/net/watch.py
+++ b/sabledyke/net/watch.py
@@ -14,6 +14,9 @@
 # How long a call may wait for news, and longer for its answer: a list counts as told 2 s after the wait ends.
 # Short, against a watch that falls silent: until its time is over, no news of boxes comes.
 WAIT_MS, SPARE_MS = 2_000, 1_000
+# Where lists are pushed, the agent is on this machine and costs nothing to ask: a watch that ended is taken
+# up again after this long (seconds), doubled up to the last figure while the agent refuses or stays silent.
+AGAIN = (0.05, 0.4)
 
 
 class Watch:
@@ -28,6 +31,25 @@
         self._task: asyncio.Task[None] | None = None
         self._single: set[asyncio.Task[None]] = set()
         self._wanted = False
+        self._again = AGAIN[0]
+        self._resume: asyncio.TimerHandle | None = None
+
+    @property
+    def pushed(self) -> bool:
+        """Lists are pushed: an agent on this machine holds them, and what it holds counts as told."""
+        return not self._settings.asks_list
+
+    def start(self) -> None:
+        """Begin to watch where lists are pushed; elsewhere the module asks when it wants."""
+        if self.pushed:
+            self.watch(True)
+
+    def stop(self) -> None:
+        """Watch no more, also where lists are pushed: the program ends."""
+        if self._resume is not None:
+            self._resume.cancel()
+            self._resume = None
+        self.watch(False)
 
     def adopt(self, address: tuple[str, int], settings: api.Settings) -> None:
         """Go by new settings; watch at a new address from now on, beginning with the whole list.
@@ -41,6 +63,7 @@
             if self._wanted:
                 self.watch(False)
                 self.watch(True)
+        self.start()
 
     def watch(self, on: bool) -> None:
         """See ``core.Lists``."""
@@ -76,15 +99,25 @@
                     stream = await streams.connect(self._address, self._settings.connect_timeout * 4)
                 answer = await self._call(stream, self._since)
                 self._told(answer)
+                self._again = AGAIN[0]
                 if not answer.keep_alive:
                     streams.abort(stream)
         except (streams.StreamClosedError, HttpError, ListError, OSError, TimeoutError) as fault:
             self._task = None  # the module asks again, after a wait of its own
             self._failed(fault)
+            if self.pushed and self._wanted and self._resume is None:
+                # Guards against missing what the agent holds: it counts as told whether asked for or not.
+                self._resume = asyncio.get_running_loop().call_later(self._again, self._take_up)
+                self._again = min(2 * self._again, AGAIN[1])
         finally:
             if stream is not None:
                 streams.abort(stream)
 
+    def _take_up(self) -> None:
+        self._resume = None
+        if self._wanted:
+            self.watch(True)
+
     async def _call(self, stream: streams.IOStream, since: int | None) -> Message:
         host = f"{self._address[0]}:{self._address[1]}"
         parser = Parser(responses=True)
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -87,12 +87,13 @@
 
 
 class Discovery(Service):
-    """Tells the whole list at once, and then nothing new."""
+    """Tells the whole list at once, then ``script``, a call each (None cuts it), then nothing new."""
 
     def __init__(self) -> None:
         super().__init__()
         self.hosts: list[dict[str, Any]] = []
         self.calls: list[str] = []
+        self.script: list[dict[str, Any] | None] = []
 
     def add(self, name: str, port: int, shard: int) -> None:
         self.hosts.append({
@@ -107,6 +108,13 @@
         while True:
             first, _, _ = await read_http(reader)
             self.calls.append(first)
+            if len(self.calls) > 1 and self.script and self.script[0] is None:
+                self.script.pop(0)
+                writer.transport.abort()
+                return
+            if len(self.calls) > 1 and self.script:
+                writer.write(http(200, json.dumps(self.script.pop(0)).encode()))
+                continue
             if len(self.calls) > 1:
                 await asyncio.sleep(3600)
             writer.write(http(200, json.dumps(self.listing()).encode()))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -623,3 +623,31 @@
         assert "since=1&timeout_ms=20 " in rig.discovery.calls[-1]
 
     play(story)
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_pushed_lists_are_watched_unasked_and_a_cut_watch_is_taken_up_again(pushed: bool) -> None:
+    async def run() -> None:
+        agent, seen = Discovery(), list[discovery.Listing | None]()
+        await agent.open()
+        agent.add("plain", 1, 0)
+        agent.script = [
+            {"seq": 2, "whole": False, "hosts": [agent.hosts[0] | {"health": "draining"}]},
+            None,
+            {"seq": 3, "whole": False, "hosts": [agent.hosts[0] | {"health": "gone"}]},
+        ]
+        settings = replace(DEPLOYMENT, asks_list=not pushed)
+        look = watch.Watch(("127.0.0.1", agent.port), settings, None, seen.append)
+        look.start()
+        async with asyncio.timeout(10):
+            while pushed and len(seen) < 4:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        look.stop()
+        agent.die()
+        states = [None if s is None else s.news.entries[0].state.name for s in seen]
+        assert states == (["READY", "DRAINING", None, "GONE"] if pushed else [])
+        assert (len(agent.calls) >= 4) if pushed else not agent.calls
+        assert not pushed or all("since=2&" in call for call in agent.calls[2:4])  # taken up where it was cut
+
+    asyncio.run(run())
