Give the discovery stand-in's script one branch instead of two alike

Cause: reading the change again, the stand-in tested `len(self.calls) > 1 and self.script` twice in a row, once to cut a call and once to answer it.

Change: one branch pops the scripted item and cuts the call where it is None, or answers it otherwise. Behaviour is the same.

--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -108,12 +108,12 @@
         while True:
             first, _, _ = await read_http(reader)
             self.calls.append(first)
-            if len(self.calls) > 1 and self.script and self.script[0] is None:
-                self.script.pop(0)
-                writer.transport.abort()
-                return
             if len(self.calls) > 1 and self.script:
-                writer.write(http(200, json.dumps(self.script.pop(0)).encode()))
+                said = self.script.pop(0)
+                if said is None:
+                    writer.transport.abort()
+                    return
+                writer.write(http(200, json.dumps(said).encode()))
                 continue
             if len(self.calls) > 1:
                 await asyncio.sleep(3600)
