--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -208,15 +208,20 @@
         if client in self.clients:
             self.clients.move_to_end(client)
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is asked, and nothing has come that was not read.
+    def close_idle(self, now: float, step: float = 0.0) -> None:
+        """Close the connections on which nothing is asked, and nothing has come that was not read: all, or as
+        the departure says, which is to be asked every ``step`` seconds.
 
         Guards against turning back unheard a request whose connection was just accepted: a client writes
         only once it is connected, so a new connection is spared for a moment.
         """
-        young = asyncio.get_running_loop().time() - FIRST_WORDS
+        young = now - FIRST_WORDS
         for client in list(self.clients):
-            if client.idle and not (client.fresh and client.since > young) and streams.quiet(client.stream):
+            if not client.idle or client.fresh and client.since > young:
+                continue
+            if self.departure is not None and not self.departure.sheds(now, step):
+                continue
+            if streams.quiet(client.stream):
                 client.close()
 
     def close(self) -> None:
--- a/sabledyke/net/parts.py
+++ b/sabledyke/net/parts.py
@@ -49,6 +49,8 @@
 class Part:
     """An optional part; every door does nothing unless it is overridden."""
 
+    in_turn = False  # this start was let in by a budget: the list is asked for at once, and doors wait for it
+
     def reports(self, onward: Report) -> Report:
         """What a transport of this part reports to, given what is above it."""
         return onward
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -50,6 +50,7 @@
     Phase.LAST: "final answers",
 }
 READING = 1.0  # seconds past the longest deadline for a client to take in its answer
+LISTED = 3.0  # seconds for the list, where doors wait for it
 LOOK = 0.01  # seconds between looks at how far the end has come
 ANSWERS = 0.25  # part of the memory for answers on their way
 BOXES = 3  # one descriptor in so many is for connections to boxes, the others are for clients
@@ -71,6 +72,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._stop = asyncio.Event()
         self._departure: Departure | None = None
+        self._planned = False  # it leaves by a plan of the fleet
+        self._heard = asyncio.Event()  # discovery was called, whatever came of it
         settings, known = config.settings, config.known
         held = known.news.version if known else None
         self.watch = Watch(config.discovery, settings, held, self._listed, config.seed)
@@ -114,7 +117,7 @@
             self.config, self._room, lambda node: self.core.nodes[node],
             lambda work, done: self._submit(work, done), self._depart, self._reach,
             lambda node: self.pool.warm(node),
-            lambda: self.takes_clients, self._stop.is_set, self.reload, self.leave,
+            lambda: self.takes_clients, self._stop.is_set, self.reload, lambda: self.leave(planned=True),
             lambda: self.core.figures.told,
             lambda node: self.core.busy(node),
             lambda entries: self._learn(api.NodeList(api.ListKind.DELTA, 0, tuple(entries)), {}),
@@ -142,7 +145,10 @@
             self._loop.add_signal_handler(number, self.leave)
         await self.open()
         if not self._stop.is_set():  # else it was told to end before it took anything
-            self.start()
+            self._begin()
+            if any(part.in_turn for part in self.parts):
+                await self._hear()
+            self._open_doors()
             gc.collect()
             gc.freeze()  # guards against long collections of what stays for good
         await self._stop.wait()
@@ -154,10 +160,30 @@
             await part.open()
 
     def start(self) -> None:
-        """Open the doors; what is known of the boxes is told first."""
+        """Begin, and open the doors."""
+        self._begin()
+        self._open_doors()
+
+    def _begin(self) -> None:
+        """Tell the core what is known of the boxes, and have the list asked for."""
         self._listed(self.config.known or Listing(api.NodeList(api.ListKind.CACHED, 0, ()), {}))
         self.watch.start()
         self._turn()
+
+    async def _hear(self) -> None:
+        """Ask for the list now, and wait for what comes of it.
+
+        Guards against turning clients away for want of a list, while others of the fleet would serve them.
+        Only so many start at once as the budget lets out, so that the calls need not be spread.
+        """
+        self._heard.clear()
+        self.watch.fetch()
+        ends = [self._loop.create_task(event.wait()) for event in (self._heard, self._stop)]
+        await asyncio.wait(ends, timeout=LISTED, return_when=asyncio.FIRST_COMPLETED)
+        for end in ends:
+            end.cancel()
+
+    def _open_doors(self) -> None:
         for front, listen in zip(self.fronts, self._listens, strict=True):
             self.doors.append(Door(listen, front.accept))
             log.say("start", f"{self.config.name} serves at {listen[0]}:{self.doors[-1].port}")
@@ -182,7 +208,7 @@
             log.say("drain", f"{self.config.name} sends clients away, {self.core.unanswered} in work")
         for front in self.fronts:
             front.quiesced = True
-            front.close_idle()
+            front.close_idle(self._loop.time())
 
     def resume(self) -> None:
         """Take clients again."""
@@ -243,8 +269,9 @@
         log.say("reload", f"the new configuration is in force; {where}, {new.sockets} descriptors")
         return ""
 
-    def leave(self) -> None:
-        """Begin to end; told once more, make haste."""
+    def leave(self, *, planned: bool = False) -> None:
+        """Begin to end, by SIGTERM or by a plan of the fleet; told once more, make haste."""
+        self._planned |= planned and not self._stop.is_set()
         if not self._stop.is_set():
             log.say("stop", f"{self.config.name} was told to end; {self.core.unanswered} requests in work")
             self._stop.set()
@@ -256,7 +283,9 @@
     async def finish(self) -> None:
         """Serve on for as long as the kill leaves time, answer all that was taken, and close."""
         longest = max(c.deadline for c in self.config.settings.classes) / 1000
-        plan = Departure(self._loop.time(), longest, self.config.seed, self._times)
+        plan = Departure(
+            self._loop.time(), longest, self.config.seed, self._times, planned=self._planned
+        )
         self._departure, last = plan, Phase.OPEN
         for front in self.fronts:
             front.departure = plan
@@ -273,9 +302,9 @@
                 held, owed = sum(len(front.clients) for front in self.fronts), self.core.unanswered
                 log.say("stop", f"{PHASES[phase]}; {held} connections, {owed} requests in work")
                 last = phase
-            if phase is Phase.LAST:
+            if phase >= Phase.PARTING:
                 for front in self.fronts:
-                    front.close_idle()
+                    front.close_idle(self._loop.time(), LOOK)
             await asyncio.sleep(LOOK)
         for front in self.fronts:  # those that stopped halfway, and those that never read
             front.close()
@@ -315,6 +344,7 @@
         self.core.depart(rid)
 
     def _listed(self, listing: Listing | None) -> None:
+        self._heard.set()
         if listing is None:
             self.core.listed(api.NodeList(api.ListKind.FAILED, 0, ()))
         else:
--- a/sabledyke/recovery/departure.py
+++ b/sabledyke/recovery/departure.py
@@ -1,7 +1,8 @@
 """What a scheduler does from SIGTERM to its end: which phase it is in, and which answers end connections.
 
-Told the moment of SIGTERM, the longest deadline and a seed; knows no socket, clock or signal. Every call says
-what time it is, in seconds of the caller's clock.
+Told the moment of SIGTERM, the longest deadline and a seed, and whether it leaves by a plan of its fleet,
+behind which no kill stands; knows no socket, clock or signal. Every call says what time it is, in seconds of
+the caller's clock.
 
 Source of its figures: PROTOCOL, "Figures": after SIGTERM new connections come for 0.2 to 0.4 s, clients
 use those that stay open for as long as they do, and SIGKILL comes no sooner than the longest deadline (3 s
@@ -43,8 +44,10 @@
 class Departure:
     """One scheduler's leaving; ``until`` is when all that it takes has to be answered."""
 
-    def __init__(self, told: float, longest: float, seed: int, times: Times = Times()) -> None:  # noqa: B008
-        self._times, self._random = times, random.Random(seed)
+    def __init__(
+        self, told: float, longest: float, seed: int, times: Times = Times(), *, planned: bool = False  # noqa: B008
+    ) -> None:
+        self._times, self._random, self._planned = times, random.Random(seed), planned
         self._door = told + times.linger
         self._plan(told, told + min(longest, times.longest) + times.grace - times.margin)
 
@@ -52,7 +55,8 @@
         """Set the phases so that the end comes at ``over``; where time is short, later ones keep theirs."""
         self.over = max(now, over)
         self.until = max(now, self.over - self._times.last)
-        self._parting = max(now, self.until - self._times.parting)
+        # By a plan others are there for its clients, who go one after the other once no new ones come.
+        self._parting = max(now, self._door if self._planned else self.until - self._times.parting)
 
     def hasten(self, now: float) -> None:
         """A second SIGTERM: end within ``haste``, and begin to part at once. Later ones change nothing."""
@@ -83,6 +87,17 @@
         left = self.until - self._parting
         return self._random.random() < ((now - self._parting) / left if left > 0 else inf)
 
+    def sheds(self, now: float, step: float) -> bool:
+        """Whether a connection that rests is closed now, where each is asked about every ``step`` seconds.
+
+        By a plan they go evenly while it parts, so that none is left whose next request would be refused at
+        the end; else they rest until then, as a kill leaves nobody else to go to.
+        """
+        phase = self.phase(now)
+        if phase is Phase.PARTING and self._planned:
+            return self._random.random() < step / (self.until - now)
+        return phase >= Phase.LAST
+
     @property
     def back(self) -> float:
         """When somebody may serve at this address again: advice to who is refused meanwhile."""
--- a/sabledyke/rollout/part.py
+++ b/sabledyke/rollout/part.py
@@ -111,6 +111,7 @@
         life = self._pen.writer.life
         self._participant = Participant(self._name, life, self._section.valid)
         self._closing = boxes.Closing(self._name, life, self._host.config.settings.drain_grace)
+        self.in_turn = self._participant.in_turn(seen)
         again = self._participant.unfinished(seen, self._section.version)
         if again is not None and self._wanted() not in (None, again.to):  # else its starter was told
             log.say("fleet", f"{self._name} was to come back as {again.to}, and ends once more")
--- a/sabledyke/rollout/participant.py
+++ b/sabledyke/rollout/participant.py
@@ -65,14 +65,18 @@
         due = ticket is not None and ticket.settings and ticket.going and not ticket.took
         return ticket if due else None
 
+    def in_turn(self, seen: View) -> bool:
+        """This life began as a former one went out by a ticket: no more begin at once than may be out."""
+        ticket = seen.tickets.get(self.name)
+        return ticket is not None and ticket.going and ticket.life < self.life and not ticket.settings
+
     def unfinished(self, seen: View, version: str) -> Ticket | None:
         """A ticket that a former life used, and after which this one started as another version than it says.
 
         Guards against a death between its word that it goes and the file that tells which version to start.
         """
-        ticket = seen.tickets.get(self.name)
-        mine = ticket is not None and ticket.going and ticket.life < self.life and not ticket.settings
-        return ticket if ticket is not None and mine and ticket.to not in ("", version) else None
+        ticket = seen.tickets.get(self.name) if self.in_turn(seen) else None
+        return ticket if ticket is not None and ticket.to not in ("", version) else None
 
     def _ask(self, plan: Plan, now: float) -> Move:
         """Time counts from here: the grant may be long on its way."""
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -12,13 +12,15 @@
 
 from sabledyke import interface as api
 from sabledyke import invariants
+from sabledyke.config import Config
 from sabledyke.core import Answer, Verdict
+from sabledyke.net.parts import Part
 from sabledyke.net.server import Server
 from sabledyke.recovery.departure import Departure, Phase, Times
 from tests.helpers import BRISK, FIXED, SETTINGS, WRITE, Rig
-from tests.standins import Reader, Writer, ask, http, read_http
+from tests.standins import Discovery, Reader, Writer, ask, http, read_http
 from tests.test_core import Bench
-from tests.test_net import GET, INFO, PUT, held_back, play
+from tests.test_net import DEPLOYMENT, GET, INFO, PUT, held_back, play
 from tests.test_net import Rig as Program
 
 SHORT = replace(BRISK, longest=1.2)  # over 1.5 s after it was told
@@ -48,6 +50,18 @@
     assert ended[0] == 0 and all(abs(ended[k] - k / 4) < 0.08 for k in range(4)), ended
 
 
+def test_by_a_plan_connections_that_rest_go_evenly_and_none_is_left_for_the_end() -> None:
+    """Else what comes in the last moments would be refused, though others of the fleet serve."""
+    for planned, gone in ((False, [0, 0, 0, 400]), (True, [0, 133, 267, 400])):
+        plan, left, seen = Departure(0.0, 3.0, 7, planned=planned), 400, list[int]()
+        for look in range(400):
+            now = look / 100
+            if now in (0.5, 1.5, 2.5, 3.5):  # the door closes at 0.6, and it is over at 3.58
+                seen.append(400 - left)
+            left -= sum(plan.sheds(now, 0.01) for _ in range(left))
+        assert all(abs(was - is_) < 45 for was, is_ in zip(gone, seen, strict=True)), (planned, seen)
+
+
 @pytest.mark.parametrize(
     "changes, sends, verdict",
     [
@@ -238,3 +252,33 @@
             asyncio.get_running_loop().remove_signal_handler(number)
 
     play(story)
+
+
+@pytest.mark.parametrize(
+    "in_turn, down, knows", [(True, False, True), (True, True, False), (False, False, False)]
+)
+def test_who_comes_back_in_its_turn_has_the_list_before_its_doors_open(
+    in_turn: bool, down: bool, knows: bool
+) -> None:
+    """Others ask by chance within seconds, as many may start together; nobody waits for a discovery that
+    cannot be called.
+    """
+
+    async def run() -> None:
+        found, part = Discovery(), Part()
+        await found.open()
+        found.add("plain", 1, 0)
+        settings = replace(DEPLOYMENT, hosts=64)
+        here = ("127.0.0.1", 1 if down else found.port)
+        server = Server(Config("n0", ("127.0.0.1", 0), here, 1, 256, 1 << 22, None, settings), None, SHORT)
+        part.in_turn = in_turn
+        server.parts.append(part)
+        ends = asyncio.create_task(server.run())
+        while not server.doors:
+            await asyncio.sleep(0.001)
+        assert (b"plain" in server.core.nodes) is knows
+        server.leave()
+        await ends
+        found.die()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
