Ask the budget once where turns are read, and say which library an experiment wants

Seen on reading the change again: planner.near counted all members anew for each name it looked at; cli/lab.py loaded every library of the laboratory before it could say that one is missing. Change: the bound is taken once; lab run names the extra, and the model checker needs none. Measured: the pure tests of budgets, turns and experiment files pass (24).

--- a/sabledyke/cli/lab.py
+++ b/sabledyke/cli/lab.py
@@ -12,8 +12,9 @@
 from typing import Any
 
 from sabledyke.config import ConfigError
-from sabledyke.lab import experiment, leasemodel, story
-from sabledyke.typed import from_file, parsed
+from sabledyke.typed import from_file, parsed, wants
+
+LIBRARIES = ("aiohttp", "hdrh", "structlog")  # of experiments; the model checker needs none of them
 
 
 def main(said: Mapping[str, Any]) -> int:
@@ -28,6 +29,8 @@
 
 
 def _check(whole: bool) -> bool:
+    from sabledyke.lab import leasemodel
+
     well = True
     with ProcessPoolExecutor() as pool:
         some = [*zip(leasemodel.PAIRS, pool.map(leasemodel.check, leasemodel.PAIRS), strict=True)]
@@ -45,6 +48,8 @@
 
 
 def _run(said: Mapping[str, Any]) -> bool:
+    for library in LIBRARIES:
+        wants("lab run", library, "lab")
     seed, fleet = int(said["--seed"]), from_file(said["FILE"], lambda text: "plan" in parsed(text))
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(said["--keep"] or Path(scratch) / "run")
@@ -53,6 +58,8 @@
 
 
 def _fleet(path: str, folder: Path, seed: int) -> bool:
+    from sabledyke.lab import story
+
     what = story.load(path)
     report = asyncio.run(story.run(what, folder, seed))
     print("\n".join([f"{what.name}, seed {seed}", *report.lines, *(f"WRONG: {w}" for w in report.wrong)]))
@@ -60,6 +67,8 @@
 
 
 def _leases(path: str, folder: Path, seed: int) -> bool:
+    from sabledyke.lab import experiment
+
     what = experiment.load(path)
     report = asyncio.run(experiment.Run(what, folder, seed).play())
     print("\n".join([f"{what.name}, seed {seed}", *report.lines()]))
--- a/sabledyke/rollout/planner.py
+++ b/sabledyke/rollout/planner.py
@@ -313,10 +313,10 @@
     Guards against a fleet that crosses its coordinator: all others keep still until they are among these. Of
     forty members that all asked, none was granted anything within four minutes.
     """
-    chosen, here = list[Member](), Counter[str]()
+    chosen, here, most = list[Member](), Counter[str](), _most(plan, seen)
     turns = wanted(plan)[:1] if plan.canary and not plan.released else wanted(plan)
     for name in turns:
-        if len(chosen) > _most(plan, seen):
+        if len(chosen) > most:
             break
         member = seen.members.get(name)
         if member is None or name in seen.tickets or member.state is not State.READY:
