--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -302,7 +302,7 @@
                 held, owed = sum(len(front.clients) for front in self.fronts), self.core.unanswered
                 log.say("stop", f"{PHASES[phase]}; {held} connections, {owed} requests in work")
                 last = phase
-            if phase >= Phase.PARTING:
+            if phase is Phase.LAST or phase is Phase.PARTING and self._planned:
                 for front in self.fronts:
                     front.close_idle(self._loop.time(), LOOK)
             await asyncio.sleep(LOOK)
