Change a model's state through one piece in both models of a fleet

Seen on reading the change again: _put, _process and _coordinator stood word for word in lab/ticketmodel.py and lab/drainmodel.py. Change: with_append, with_process and with_coordinator of lab/modelboard.py serve both; nothing else differs. Nothing that a plain start loads has changed.

--- a/sabledyke/lab/drainmodel.py
+++ b/sabledyke/lab/drainmodel.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
-from sabledyke.lab.modelboard import Coordinator, put, swapped
+from sabledyke.lab.modelboard import Coordinator, swapped, with_append, with_coordinator, with_process
 from sabledyke.lab.search import Found, explore
 from sabledyke.rollout import boxes, planner
 from sabledyke.rollout.planner import Move, Patience, Watch
@@ -133,7 +133,7 @@
                 else Move("coordinates", (Epoch(f"c{i}", one.token),), end=seen.next)
             )
             if move is not None:
-                yield f"c{i} decides: {move.what}", _coordinator(model, i, one._replace(pending=move))
+                yield f"c{i} decides: {move.what}", with_coordinator(model, i, one._replace(pending=move))
         else:
             yield f"c{i} writes: {one.pending.what}", _write(model, i, one.pending, rules)
     if budget.takeovers and len(model.coordinators) == 1:
@@ -150,7 +150,7 @@
     if budget.halts and plan.stage is Stage.RUNNING:
         spent = model._replace(budget=budget._replace(halts=budget.halts - 1))
         for stage in (Stage.HALTED, Stage.BACK):
-            yield f"the operator: {stage.value}", _put(spent, (replace(plan, stage=stage),), ())
+            yield f"the operator: {stage.value}", with_append(spent, (replace(plan, stage=stage),), ())
 
 
 def _member(model: Model, i: int, process: Process, seen: View, rules: Rules) -> Iterator[tuple[str, Model]]:
@@ -158,49 +158,50 @@
     if not process.up:
         if known.state is State.READY:
             silent = replace(known, state=State.SILENT)
-            yield f"{name} is noticed to be silent", _put(model, (silent,), ())
+            yield f"{name} is noticed to be silent", with_append(model, (silent,), ())
         again = Process(process.life + 1, True, False)
-        said = _put(_process(model, i, again), (Member(name, again.life),), ())
-        yield f"{name} starts again", said if rules.lives_first else _process(model, i, again)
+        said = with_append(with_process(model, i, again), (Member(name, again.life),), ())
+        yield f"{name} starts again", said if rules.lives_first else with_process(model, i, again)
         return
     if budget.deaths:
         spent = model._replace(budget=budget._replace(deaths=budget.deaths - 1))
-        gone = _process(spent, i, process._replace(up=False, serves=False, out=frozenset(), pending=None))
+        gone = with_process(spent, i, process._replace(up=False, serves=False, out=frozenset(), pending=None))
         yield f"{name} dies", gone
         if not process.out and process.pending is None and known.life == process.life:
-            yield f"{name} leaves", _put(gone, (replace(known, state=State.OUT),), ())
+            yield f"{name} leaves", with_append(gone, (replace(known, state=State.OUT),), ())
     if budget.silences and known.state is State.READY:
         spent = model._replace(budget=budget._replace(silences=budget.silences - 1))
-        yield f"{name} is not heard", _put(spent, (replace(known, state=State.SILENT),), ())
+        yield f"{name} is not heard", with_append(spent, (replace(known, state=State.SILENT),), ())
     for box in sorted(process.out):
-        yield f"{name} is answered by {box}", _process(model, i, process._replace(out=process.out - {box}))
+        left = process._replace(out=process.out - {box})
+        yield f"{name} is answered by {box}", with_process(model, i, left)
     if process.serves and budget.sends:
         for box in seen.plans[PLAN].boxes:
             if box not in process.shut | process.out:
                 spent = model._replace(budget=budget._replace(sends=budget.sends - 1))
                 sent = process._replace(out=process.out | {box})
-                yield f"{name} sends to {box}", _process(spent, i, sent)
+                yield f"{name} sends to {box}", with_process(spent, i, sent)
     if process.pending is not None:
-        written = _process(model, i, process._replace(pending=None))
-        yield f"{name} writes: {process.pending.what}", _put(written, process.pending.writes, ())
+        written = with_process(model, i, process._replace(pending=None))
+        yield f"{name} writes: {process.pending.what}", with_append(written, process.pending.writes, ())
         return
     closing = boxes.Closing(name, process.life, 0.0, dict.fromkeys(process.since, 0.0))
     move = closing.step(seen, 1.0, lambda box: rules.busy and box in process.out)
     looked = process._replace(shut=boxes.shut(seen), since=frozenset(closing.since), serves=True)
     if (known.life, known.state) != (process.life, State.READY):
         ready = Move("is ready", (Member(name, process.life, state=State.READY),))
-        yield f"{name} looks, and serves", _process(model, i, looked._replace(pending=ready))
+        yield f"{name} looks, and serves", with_process(model, i, looked._replace(pending=ready))
     elif move is not None or looked != process:
         what = move.what if move else "nothing to say"
-        yield f"{name} looks: {what}", _process(model, i, looked._replace(pending=move))
+        yield f"{name} looks: {what}", with_process(model, i, looked._replace(pending=move))
 
 
 def _write(model: Model, i: int, move: Move, rules: Rules) -> Model:
     one = model.coordinators[i]
-    model = _coordinator(model, i, one._replace(pending=None))
+    model = with_coordinator(model, i, one._replace(pending=None))
     if rules.order and (one.token < model.written or move.end != model.next):
         return model
-    after = _put(model._replace(written=max(model.written, one.token)), move.writes, move.ends)
+    after = with_append(model._replace(written=max(model.written, one.token)), move.writes, move.ends)
     begun = [w for w in move.writes if isinstance(w, Drain) and w.phase is Phase.LEAVING]
     away, plan = boxes.out(_view(after), {}), _view(after).plans[PLAN]
     return after._replace(wrong=f"{sorted(away)} are out") if begun and len(away) > plan.most else after
@@ -211,19 +212,6 @@
     return replace(seen, members=away)
 
 
-def _put(model: Model, writes: tuple[Record, ...], ends: tuple[str, ...]) -> Model:
-    records, next_ = put(model.records, model.next, writes, ends)
-    return model._replace(records=records, next=next_)
-
-
-def _process(model: Model, i: int, process: Process) -> Model:
-    return model._replace(processes=swapped(model.processes, i, process))
-
-
-def _coordinator(model: Model, i: int, one: Coordinator) -> Model:
-    return model._replace(coordinators=swapped(model.coordinators, i, one))
-
-
 def _ranked(model: Model) -> Model:
     """Offsets and lives by rank: only whether they are the same, or which is later, matters."""
     pending = [p.pending for p in model.processes] + [c.pending for c in model.coordinators]
--- a/sabledyke/lab/modelboard.py
+++ b/sabledyke/lab/modelboard.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import NamedTuple, TypeVar
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 from sabledyke.rollout.planner import Move
 from sabledyke.rollout.terms import Record, key
@@ -33,6 +33,42 @@
     return tuple(table[k] for k in sorted(table)), next_
 
 
+class Fleet(Protocol):
+    """What a model's state has, a NamedTuple."""
+
+    @property
+    def records(self) -> tuple[Record, ...]: ...
+    @property
+    def next(self) -> int: ...
+    @property
+    def processes(self) -> tuple[Any, ...]: ...
+    @property
+    def coordinators(self) -> tuple[Coordinator, ...]: ...
+    def _replace(self, *args: Any, **kwargs: Any) -> Any: ...
+
+
+M = TypeVar("M", bound=Fleet)
+
+
+def with_append(model: M, writes: Iterable[Record], ends: Iterable[str]) -> M:
+    """The model after one append."""
+    records, next_ = put(model.records, model.next, writes, ends)
+    after: M = model._replace(records=records, next=next_)
+    return after
+
+
+def with_process(model: M, i: int, process: object) -> M:
+    """With this process in place ``i``."""
+    after: M = model._replace(processes=swapped(model.processes, i, process))
+    return after
+
+
+def with_coordinator(model: M, i: int, one: Coordinator) -> M:
+    """With this coordinator in place ``i``."""
+    after: M = model._replace(coordinators=swapped(model.coordinators, i, one))
+    return after
+
+
 def swapped(some: tuple[T, ...], i: int, one: T) -> tuple[T, ...]:
     """With ``one`` in place ``i``."""
     return (*some[:i], one, *some[i + 1 :])
--- a/sabledyke/lab/ticketmodel.py
+++ b/sabledyke/lab/ticketmodel.py
@@ -17,7 +17,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
-from sabledyke.lab.modelboard import Coordinator, put, swapped
+from sabledyke.lab.modelboard import Coordinator, with_append, with_coordinator, with_process
 from sabledyke.lab.search import Found, explore
 from sabledyke.rollout import planner
 from sabledyke.rollout.participant import GOES, Asked, Participant
@@ -107,7 +107,7 @@
             known = seen if rules.unplanned else _planned_only(seen)
             move = planner.decide(known, f"c{i}", one.token, 0.0, Watch(), NEVER)
             if move is not None:
-                yield f"c{i} decides: {move.what}", _coordinator(model, i, one._replace(pending=move))
+                yield f"c{i} decides: {move.what}", with_coordinator(model, i, one._replace(pending=move))
         else:
             yield f"c{i} writes: {one.pending.what}", _write(model, i, one.pending, rules)
     if budget.takeovers and len(model.coordinators) == 1:
@@ -122,7 +122,7 @@
     if budget.halts and plan.stage is Stage.RUNNING:
         spent = model._replace(budget=budget._replace(halts=budget.halts - 1))
         for stage in (Stage.HALTED, Stage.BACK):
-            yield f"the operator: {stage.value}", _put(spent, (replace(plan, stage=stage),), ())
+            yield f"the operator: {stage.value}", with_append(spent, (replace(plan, stage=stage),), ())
 
 
 def _member(model: Model, i: int, process: Process, seen: View, rules: Rules) -> Iterator[tuple[str, Model]]:
@@ -130,14 +130,15 @@
     if not process.up:
         back = process._replace(life=process.life + 1, up=True, went=False, asked=0, numbers=0, pending=None)
         ready = Member(name, back.life, state=State.READY)
-        yield f"{name} is back", _put(_process(model, i, back), (ready,), ())
+        yield f"{name} is back", with_append(with_process(model, i, back), (ready,), ())
         known = seen.members[name]
         if known.state is State.READY and known.life == process.life:
-            yield f"{name} is noticed to be out", _put(model, (replace(known, state=State.SILENT),), ())
+            silent = replace(known, state=State.SILENT)
+            yield f"{name} is noticed to be out", with_append(model, (silent,), ())
         return
     if budget.deaths:
         spent = model._replace(budget=budget._replace(deaths=budget.deaths - 1))
-        yield f"{name} dies", _process(spent, i, process._replace(up=False, pending=None))
+        yield f"{name} dies", with_process(spent, i, process._replace(up=False, pending=None))
     if process.pending is not None:
         yield f"{name} writes: {process.pending.what}", _member_writes(model, i, process, seen, rules)
         return
@@ -155,33 +156,33 @@
         if not move.expects:  # an ask rests on nothing: when it is written makes no difference
             yield (
                 f"{name} {move.what}",
-                _put(_process(after, i, told._replace(pending=None)), move.writes, ()),
+                with_append(with_process(after, i, told._replace(pending=None)), move.writes, ()),
             )
         else:
-            yield f"{name} decides: {move.what}", _process(after, i, told)
+            yield f"{name} decides: {move.what}", with_process(after, i, told)
 
 
 def _member_writes(model: Model, i: int, process: Process, seen: View, rules: Rules) -> Model:
     move, after = process.pending, process._replace(pending=None)
     assert move is not None
     if rules.expects and any(seen.at(k) != offset for k, offset in move.expects):
-        return _process(model, i, after)
+        return with_process(model, i, after)
     if move.what != GOES:
-        return _put(_process(model, i, after), move.writes, move.ends)
+        return with_append(with_process(model, i, after), move.writes, move.ends)
     out, plan = sum(p.went for p in model.processes), seen.plans[PLAN]
     wrong = f"{out + 1} are out by a ticket" if out + 1 > plan.most else ""
     if plan.stage not in (Stage.RUNNING, Stage.BACK):
         wrong = wrong or f"n{i} goes out while the plan is {plan.stage.value}"
-    gone = _process(model, i, after._replace(up=False, went=True))._replace(wrong=wrong)
-    return _put(gone, move.writes, move.ends)
+    gone = with_process(model, i, after._replace(up=False, went=True))._replace(wrong=wrong)
+    return with_append(gone, move.writes, move.ends)
 
 
 def _write(model: Model, i: int, move: Move, rules: Rules) -> Model:
     one = model.coordinators[i]
-    model = _coordinator(model, i, one._replace(pending=None))
+    model = with_coordinator(model, i, one._replace(pending=None))
     if rules.token and one.token < model.written or rules.end and move.end != model.next:
         return model
-    after = _put(model._replace(written=max(model.written, one.token)), move.writes, move.ends)
+    after = with_append(model._replace(written=max(model.written, one.token)), move.writes, move.ends)
     granted = [w for w in move.writes if isinstance(w, Ticket)]
     seen = _view(after.records, after.next)
     if granted and len(planner.out(seen)) > seen.plans[PLAN].most:
@@ -194,19 +195,6 @@
     return replace(seen, members=ready)
 
 
-def _put(model: Model, writes: tuple[Record, ...], ends: tuple[str, ...]) -> Model:
-    records, next_ = put(model.records, model.next, writes, ends)
-    return model._replace(records=records, next=next_)
-
-
-def _process(model: Model, i: int, process: Process) -> Model:
-    return model._replace(processes=swapped(model.processes, i, process))
-
-
-def _coordinator(model: Model, i: int, one: Coordinator) -> Model:
-    return model._replace(coordinators=swapped(model.coordinators, i, one))
-
-
 def _ranked(model: Model) -> Model:
     """Offsets, lives and numbers of asks by rank: only whether they are the same, or which is later,
     matters.
