Order a model's like processes by their figures, not by the text of every renaming

Cause: a profile of the lease model shows 6.8 of 11.3 s in _alike, which wrote out every order of processes of one rate as text to take the first; and most of the rest in dataclasses.replace. Change: processes of one rate are sorted by what the state says of each, whatever its place; only where two say the same are the texts compared, as before. _shift builds its state at once.

--- a/sabledyke/lab/leasemodel.py
+++ b/sabledyke/lab/leasemodel.py
@@ -222,9 +222,10 @@
     def to(at: float) -> float:
         return max(at - by, -FAR)
 
-    return changed(
-        state, until=to(state.until) if state.until > -inf else -inf, since=to(state.since),
-        asked=to(state.asked), due=to(state.due) if state.due > -inf else -inf,
+    return State(
+        state.me, state.phase, state.token, to(state.until) if state.until > -inf else -inf, state.acting,
+        state.stamp, state.free, to(state.since), state.ttl, state.out, state.number, to(state.asked),
+        to(state.due) if state.due > -inf else -inf, state.rests, state.misses,
     )  # fmt: skip
 
 
@@ -299,10 +300,44 @@
 
 
 def _alike(world: World) -> World:
-    """Of those that differ only by who is who among processes of one rate, the first by its text."""
+    """Of those that differ only by who is who among processes of one rate, the one in which these stand in the
+    order of their figures; of those that have the same, the first by its text.
+    """
     rates = [p.rate for p in world.processes]
-    orders = [o for o in permutations(range(len(rates))) if [rates[i] for i in o] == rates]
-    return min((_renamed(world, o) for o in orders), key=repr) if len(orders) > 1 else world
+    if len(set(rates)) == len(rates):
+        return world
+    figures = [_figures(world, i) for i in range(len(rates))]
+    if len({*zip(rates, figures, strict=True)}) < len(rates):
+        orders = [o for o in permutations(range(len(rates))) if [rates[i] for i in o] == rates]
+        return min((_renamed(world, o) for o in orders), key=repr)
+    left = {rate: iter(sorted((f, i) for i, f in enumerate(figures) if rates[i] == rate)) for rate in rates}
+    order = tuple(next(left[rate])[1] for rate in rates)
+    return world if order == tuple(range(len(rates))) else _renamed(world, order)
+
+
+def _figures(world: World, i: int) -> tuple[object, ...]:
+    """What a state says of one process, whatever place it has, in a form that can be sorted."""
+    s, paused = world.processes[i].state, world.processes[i].paused
+    told = tuple((m.current, m.life.count("+"), *_plainly(m.what)) for m in world.flying if m.who == i)
+    mine = world.by.count("+") if world.by.rstrip("+") == str(i) else -1
+    return (
+        paused, s.me.count("+"), s.phase.value, s.token, s.until, s.acting, s.stamp or (-1, -1), s.free,
+        s.since, s.asked, s.due, _plainly(s.out), told, mine,
+    )  # fmt: skip
+
+
+def _plainly(what: Ask | Reply | None) -> tuple[str, tuple[int, ...]]:
+    """A message without the names in it."""
+    match what:
+        case Take(stamp):
+            return "take", stamp
+        case Sight(stamp, _, free):
+            return "sight", (*stamp, free)
+        case Renew(token) | Release(token) | Granted(token):
+            return type(what).__name__, (token,)
+        case Renewed(recalled):
+            return "renewed", (recalled,)
+    return type(what).__name__, ()
 
 
 def _renamed(world: World, order: tuple[int, ...]) -> World:
