--- a/sabledyke/board/section.py
+++ b/sabledyke/board/section.py
@@ -16,7 +16,7 @@
 from sabledyke.typed import Table, convert, wants
 
 PLAIN = Policy()
-OURS = ("fleet", "beats", "homes")  # topics that are the fleet's own
+OURS = ("fleet", "beats", "homes", "shares")  # topics that are the fleet's own
 MOST_TOPICS = 16
 
 
--- a/sabledyke/cli/fleet.py
+++ b/sabledyke/cli/fleet.py
@@ -13,6 +13,7 @@
 from sabledyke.board.board import Board
 from sabledyke.board.follower import Follower
 from sabledyke.errors import Fault, PlanError
+from sabledyke.fleet.shares import TOPIC
 from sabledyke.rollout import boxes, planner, word
 from sabledyke.rollout.planner import Move
 from sabledyke.rollout.section import load_plan
@@ -50,6 +51,7 @@
         move = await word.say(board, reader, lambda seen: _wanted(said, seen, plan))
         if said["forget"]:
             await register.drop(board.shelf, BEATS, [said["MEMBER"], f"{LOADS}{said['MEMBER']}"])
+            await register.drop(board.shelf, TOPIC, [said["MEMBER"]])
         print(move.what)
     finally:
         await board.shelf.close()
--- a/sabledyke/cli/lab.py
+++ b/sabledyke/cli/lab.py
@@ -50,18 +50,21 @@
 def _run(said: Mapping[str, Any]) -> bool:
     for library in LIBRARIES:
         wants("lab run", library, "lab")
-    seed, fleet = int(said["--seed"]), from_file(said["FILE"], lambda text: "plan" in parsed(text))
+    seed, keys = int(said["--seed"]), from_file(said["FILE"], lambda text: parsed(text).keys())
     with tempfile.TemporaryDirectory() as scratch:
         folder = Path(said["--keep"] or Path(scratch) / "run")
         folder.mkdir()
-        return _fleet(said["FILE"], folder, seed) if fleet else _leases(said["FILE"], folder, seed)
+        if "plan" in keys or "limit" in keys:
+            return _fleet(said["FILE"], folder, seed, "plan" in keys)
+        return _leases(said["FILE"], folder, seed)
 
 
-def _fleet(path: str, folder: Path, seed: int) -> bool:
-    from sabledyke.lab import story
+def _fleet(path: str, folder: Path, seed: int, plans: bool) -> bool:
+    from sabledyke.lab import story, sums
 
-    what = story.load(path)
-    report = asyncio.run(story.run(what, folder, seed))
+    what = story.load(path) if plans else sums.load(path)
+    running = story.run(what, folder, seed) if isinstance(what, story.Story) else sums.run(what, folder, seed)
+    report = asyncio.run(running)
     print("\n".join([f"{what.name}, seed {seed}", *report.lines, *(f"WRONG: {w}" for w in report.wrong)]))
     return not report.wrong
 
--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -59,6 +59,7 @@
     length: int = 0  # bytes a read wants, where the front's wire says so
     ran: tuple[float, api.NodeEntry] | None = None  # a former life sent it then, there
     sent_to: api.NodeEntry | None = None  # where its last attempt went
+    part: float = 0.0  # see ``interface.Request``
 
 
 @dataclass(slots=True, frozen=True)
@@ -170,7 +171,7 @@
         heapq.heappush(self._timers, (now + work.remaining - GUARD, -1, rid))
         self._event(api.Request(
             rid, work.class_, work.plan, work.key, work.remaining, work.volume, work.units, work.shard,
-            work.hosts, work.repeated, work.write, work.ran,
+            work.hosts, work.repeated, work.write, work.ran, work.part,
         ))  # fmt: skip
         return rid
 
--- a/sabledyke/interface.py
+++ b/sabledyke/interface.py
@@ -190,6 +190,7 @@
     repeated: bool
     write: bool
     ran: tuple[float, NodeEntry] | None = None  # a former life sent it then, there: it may have run
+    part: float = 0.0  # this host's part of the volume's limit and reserve, by its fleet; else 1 / hosts
 
 
 @dataclass(slots=True, frozen=True)
--- a/sabledyke/lab/leasemodel.py
+++ b/sabledyke/lab/leasemodel.py
@@ -300,8 +300,8 @@
 
 
 def _alike(world: World) -> World:
-    """Of those that differ only by who is who among processes of one rate, the one in which these stand in the
-    order of their figures; of those that have the same, the first by its text.
+    """Of those that differ only by who is who among processes of one rate, the one in which these stand in
+    the order of their figures; of those that have the same, the first by its text.
     """
     rates = [p.rate for p in world.processes]
     if len(set(rates)) == len(rates):
--- a/sabledyke/lab/release.py
+++ b/sabledyke/lab/release.py
@@ -79,6 +79,9 @@
     warm: int = 500  # of a box
     topics: tuple[str, ...] = ()  # of an operator's own
     clean: float = 5.0  # seconds
+    limit: float = 0.0  # units a second of each volume on the tier ``capped``, and as many at once
+    shares: bool = False  # members share limits out by demand
+    beat: int = 500  # of that
     between: bool = True  # a proxy stands between each process and the etcd, for faults of the network
 
 
@@ -134,6 +137,9 @@
             self.boxes.open()
             times = {"warm_up": self.setting.warm, "stop_sending_within": GRACE, "tip_multiple": TIP}
             settings = {**SETTINGS, "invariants": {**cluster.SETTINGS["invariants"], **times}}
+            if limit := self.setting.limit:
+                capped = {"name": "capped", "usual_rate": limit, "ceiling_rate": limit, "limit_burst": limit}
+                settings["grades"] = [*cluster.SETTINGS["grades"], capped]
             more = {"settings": settings, "discovery": f"127.0.0.1:{self.boxes.discovery}"}
         for i in range(self.setting.size):
             if self.setting.between:
@@ -232,6 +238,7 @@
 soak_ms = {s.soak}
 valid_ms = {s.valid}
 {self._sites() if s.sites > 1 else ""}
+{f"[fleet]{chr(10)}members = {s.size}{chr(10)}beat_ms = {s.beat}" if s.shares else ""}
 """
 
     def _sites(self) -> str:
--- a/sabledyke/lab/traffic.py
+++ b/sabledyke/lab/traffic.py
@@ -56,6 +56,7 @@
         boxes, token = self._boxes, self.request.headers.get("Idempotency-Key", "")
         boxes.asked += 1
         boxes.came(self._number)
+        boxes.units.setdefault(self.request.path.split("/")[2], []).append(time.monotonic())
         boxes.late += self._number in boxes.drained
         boxes.busy[self._number] += 1
         await asyncio.sleep(boxes.takes)
@@ -92,6 +93,7 @@
 
     def __init__(self, copies: int = 1, takes: float = 0.005, warm: float = 0.5) -> None:
         self.takes, self.asked, self._warm = takes, 0, warm  # seconds until a new start is warm
+        self.units: dict[str, list[float]] = {}  # by volume: when each unit came
         self.pressed = 0.0  # the most that a cold box was sent, over what has it fall
         self._young: dict[int, tuple[float, deque[float]]] = {}  # of later starts: when, and what came lately
         self.ran: Counter[str] = Counter()  # by key
@@ -214,8 +216,9 @@
 
     def __init__(
         self, name: str, doors: Callable[[int], Sequence[int]], volumes: Sequence[int], every: float,
-        count: Count,
+        count: Count, tier: str = "base", hosts: int = 1,
     ) -> None:  # fmt: skip
+        self._tier, self._hosts = tier, hosts
         self._name, self._doors, self._volumes, self._every, self.count = name, doors, volumes, every, count
         self._random, self._number = Random(name), 0
         self._open: dict[int, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}  # by port
@@ -274,8 +277,9 @@
         path, ident = f"/api/{volume:016x}/{self._number:016x}", f"{self._name}-{self._number}-{tries}"
         lines = [
             f"{'PUT' if token else 'GET'} {path} HTTP/1.1", "Host: x", f"Req-Id: {ident}",
-            f"Req-Kind: {'write' if token else 'read'}", "Tier: base", f"Req-Deadline: {DEADLINE / 1000:.3f}",
-            f"IO-Info: units=1,shard={volume % SHARDS},hosts=1", "Content-Length: 0",
+            f"Req-Kind: {'write' if token else 'read'}", f"Tier: {self._tier}",
+            f"Req-Deadline: {DEADLINE / 1000:.3f}",
+            f"IO-Info: units=1,shard={volume % SHARDS},hosts={self._hosts}", "Content-Length: 0",
             *([f"Idempotency-Key: {token}"] if token else []), "", "",
         ]  # fmt: skip
         try:
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -42,6 +42,7 @@
     ("sabledyke.net.nvmepart", "set_up", lambda o: o.listen or o.boxes),
     ("sabledyke.lease.part", "set_up", lambda o: o.lease),
     ("sabledyke.rollout.part", "set_up", lambda o: o.rollout),
+    ("sabledyke.fleet.part", "set_up", lambda o: o.fleet),
 )
 
 PHASES = {  # what each step of leaving is called in the log
--- a/sabledyke/operator.py
+++ b/sabledyke/operator.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from sabledyke.board.section import Section as BoardSection
+    from sabledyke.fleet.section import Section as FleetSection
     from sabledyke.lease.section import Section as LeaseSection
     from sabledyke.rollout.section import Section as RolloutSection
     from sabledyke.sites.homes import Map
@@ -44,6 +45,7 @@
     board: BoardSection | None = None
     rollout: RolloutSection | None = None
     sites: Map | None = None
+    fleet: FleetSection | None = None
     json_log: bool = False
 
 
@@ -108,6 +110,7 @@
     board: dict[str, Any] = {}
     rollout: dict[str, Any] = {}
     sites: dict[str, Any] = {}
+    fleet: dict[str, Any] = {}
 
 
 def load(path: str, settings: api.Settings) -> Operator:
@@ -134,6 +137,7 @@
         board=board,
         rollout=rollout,
         sites=sites,
+        fleet=_shares(said.fleet, board),
         json_log=said.log.format == "json",
     )
     if store is not None and {b.node for b in store.boxes} & {n for n, _ in operator.boxes}:
@@ -168,6 +172,16 @@
     return board, rollout, where
 
 
+def _shares(data: dict[str, Any], board: BoardSection | None) -> FleetSection | None:
+    if not data:
+        return None
+    from sabledyke.fleet import section as fleet  # loaded only where it is wanted
+
+    if board is None:
+        raise OperatorError("fleet wants [board], where its members tell their demands")
+    return fleet.read(data)
+
+
 def _tls(data: dict[str, Any]) -> TlsSection | None:
     if not data:
         return None
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -194,14 +194,14 @@
         self.longest[ask.class_] = max(self.longest[ask.class_], ask.remaining)
         spent = kind.deadline - ask.remaining if ask.remaining < self.longest[ask.class_] - 1 else 0.0
         name = ask.volume, ask.plan  # a client that names another plan spends nothing of this one's
-        volume, part = self.volumes.get(name), 1 / max(1.0, ask.hosts)
+        volume, part = self.volumes.get(name), ask.part or 1 / max(1.0, ask.hosts)
         if volume is None:  # a former life, or its hosts while they were fewer, may have spent the limit
             plan, life = self.s.plans[ask.plan], (now - self.born) / 1000
             reserve = self.s.most_units + plan.reservation * part * life
             volume = self.volumes[name] = Volume(plan, part, reserve, 0.0, now)
-        if part < volume.part:
-            volume.part = part
+        if part < volume.part and not ask.part:
             self.out.append(api.Log(f"volume {ask.volume:x} comes through {ask.hosts:g} hosts from now on"))
+        volume.part = ask.part or min(part, volume.part)
         self.refill(volume)
         reserved = volume.reserve >= ask.units and volume.plan.reservation > 0
         volume.reserve -= ask.units * reserved
--- a/sabledyke/store/connect.py
+++ b/sabledyke/store/connect.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import TypeVar
 
-from sabledyke.store.faults import StoreError, StoreFault
+from sabledyke.store.faults import PASSING, StoreError, StoreFault
 from sabledyke.store.section import Target
 from sabledyke.store.session import Session, SqliteSession
 
+T = TypeVar("T")
+PATIENCE = 5.0  # seconds that a start waits for a database which another holds up
+WAITS = 0.02, 0.5  # seconds before it is asked again: the first wait, doubled up to the last
+
 
 async def connect(target: Target, *, create: bool = True, connect_s: float = 0.3) -> Session:
     """A session; a StoreFault where it does not come up."""
@@ -27,6 +35,23 @@
 async def at_start(target: Target, *, create: bool = True) -> Session:
     """The same, with more patience, and a StoreError in one plain line."""
     try:
-        return await connect(target, create=create, connect_s=5.0)
+        return await patiently(lambda: connect(target, create=create, connect_s=PATIENCE))
     except StoreFault as fault:
         raise StoreError(f"store {target}: {fault}") from None
+
+
+async def patiently(what: Callable[[], Awaitable[T]]) -> T:
+    """What stands in the way for a moment is waited for: a lock, a server that starts or ends.
+
+    Guards against a start that fails for good because a former process, or the one that it is to take over
+    from, is just closing the file or commits slowly.
+    """
+    ends, wait = time.monotonic() + PATIENCE, WAITS[0]
+    while True:
+        try:
+            return await what()
+        except StoreFault as fault:
+            if fault.kind not in PASSING or time.monotonic() >= ends:
+                raise
+        await asyncio.sleep(wait)
+        wait = min(2 * wait, WAITS[1])
--- a/sabledyke/store/recorder.py
+++ b/sabledyke/store/recorder.py
@@ -21,6 +21,7 @@
 from sabledyke.net.parts import Done, Submit
 from sabledyke.net.pool import Report
 from sabledyke.store import opening, statements
+from sabledyke.store.connect import patiently
 from sabledyke.store.drift import DriftWatch
 from sabledyke.store.faults import Kind, StoreFault
 from sabledyke.store.keeper import Attempt, Blocked, Effect, Go, Keeper, Moot, Say, Told
@@ -82,7 +83,11 @@
 
     async def open(self) -> None:
         """Open the database, take a life, read what can still matter; a StoreFault where that fails."""
-        self._session = await self._opener()
+        await patiently(self._take_life)
+
+    async def _take_life(self) -> None:
+        if self._session is None or self._session.closed:
+            self._session = await self._opener()
         await opening.migrate(self._session)
         position = await opening.new_life(self._session, self.keeper.instance)
         longest = max(c.repeat_window for c in self.settings.classes)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -55,7 +55,7 @@
     code = "import sys, sabledyke.__main__, sabledyke.net.server; print(*sys.modules)"
     said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT)
     mine = [name for name in said.stdout.split() if name.startswith("sabledyke.")]
-    off = "board rollout sites lease lab store tls cli operator structured typed".split()
+    off = "board rollout sites fleet lease lab store tls cli operator structured typed".split()
     assert "sabledyke.recovery.departure" in mine
     assert not [name for name in mine if name.split(".")[1] in off] and "msgspec" not in said.stdout.split()
 
--- a/tests/test_store_record.py
+++ b/tests/test_store_record.py
@@ -110,6 +110,18 @@
     assert "keyed writes are refused" in said and "it answers again after" in said
 
 
+def test_a_start_waits_for_who_holds_the_file_just_now(tmp_path: Path) -> None:
+    async def story(made: StoreRig) -> None:
+        await made.leave()
+        other = sqlite3.connect(made.file, isolation_level=None)
+        other.execute("BEGIN EXCLUSIVE")
+        asyncio.get_running_loop().call_later(0.5, other.close)
+        await made.live()
+        assert (await made.put("k"))[0] == 200
+
+    play(tmp_path, "sqlite", story)
+
+
 @pytest.mark.parametrize("backend", BACKENDS)
 def test_a_served_write_that_cannot_be_journalled_is_answered_failed(tmp_path: Path, backend: str) -> None:
     async def story(made: StoreRig) -> None:
--- /dev/null
+++ b/tests/test_sums.py
@@ -0,0 +1,134 @@
+"""Choices that add up: parts of a limit among members, in virtual time and with processes under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from sabledyke import interface as api
+from sabledyke import operator
+from sabledyke.errors import OperatorError
+from sabledyke.fleet.demand import Meter
+from sabledyke.fleet.shares import MOST_TOLD, Policy, Shares, Times
+from sabledyke.lab import sums
+from sabledyke.lab.sharemodel import Model, Rules
+from sabledyke.lab.story import Report
+from tests.helpers import CAPPED, SETTINGS, Rig, of
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_whatever_comes_between_members_their_shares_never_add_up_to_more_than_all(seed: int) -> None:
+    found = Model(seed, 2 + seed % 5).run(60_000)
+    assert found.most <= 1 + 1e-9 and found.mean > 0.02
+
+
+@pytest.mark.parametrize(
+    "rule, seed", [("window", 0), ("gap", 90), ("hold", 2), ("sure", 2), ("rests", 44)]
+)
+def test_without_each_of_its_rules_they_do(rule: str, seed: int) -> None:
+    assert Model(seed, rules=Rules(**{rule: False})).run(60_000).most > 1.1
+
+
+def test_who_leans_gets_nearly_all_and_who_is_cut_off_falls_to_its_floor() -> None:
+    times, shares, now = Times(), Shares(Policy(10, 0.2)), 0.0
+    floor, leaning = 0.02, 0.02 + 0.8
+    for number in range(1, 21):
+        shares.tell(number, {7: 30.0}, now, number - 1)
+        shares.stands(number, now + 1)
+        for _ in range(4):
+            now += times.beat / 4
+            shares.look(now - 1, now, {"n1": (number, {8: 5.0}), "n2": (1, {7: 30.0})})
+    assert shares.part(7, now) == pytest.approx(leaning)  # n2's word has stood still: it is given up
+    assert shares.part(8, now) == floor and shares.part(9, now) == floor
+    assert shares.part(7, now + times.gap) == floor  # nothing was seen since
+    shares.look(now, now + 1, {f"n{i}": (1, {7: 10.0}) for i in range(1, 40)})
+    assert shares.part(7, now + 1) == pytest.approx(0.2 / 40 + 0.8 * 30 / (30 + 38 * 10))
+
+
+def test_a_meter_tells_a_steady_demand_once_and_follows_a_jump_at_the_next_word() -> None:
+    random, meter, now, words = Random(3), Meter(0.0), 0.0, list[dict[int, float]]()
+    for beat in range(60):
+        for _ in range(sum(random.random() < 0.2 for _ in range(100)) * (beat < 40)):  # 40 units a second
+            meter.add(now, 7, 1.0, 1000.0)
+            meter.add(now, 8, 100.0, 50.0)
+        now += 500.0
+        words.append(meter.word(now))
+    steady = {word[7] for word in words[5:40]}
+    assert len(steady) <= 3 and all(25 < rate < 60 for rate in steady)
+    assert {word[8] for word in words[5:40]} == {50.0}  # no more than there is
+    assert words[41].get(7, 0.0) < 8 and words[-1] == {} and not meter.busy
+    for volume in range(3 * MOST_TOLD):
+        meter.add(now, volume, 1.0, 100.0)
+    assert len(meter.word(now + 500)) == MOST_TOLD
+
+
+def test_the_module_goes_by_the_part_that_it_is_told_and_else_by_hosts() -> None:
+    rig, plan = Rig(), SETTINGS.plans.index(CAPPED)
+    for number, (told, part) in enumerate([(0.0, 0.5), (0.9, 0.9), (0.05, 0.05), (0.0, 0.05)], 1):
+        rig.do(api.Request(number, 0, plan, 0, 1000.0, 1, 2.0, 1, 2, False, False, None, told))
+        assert [volume.part for volume in rig.scheduler.volumes.values()] == [part]
+    assert not of(rig.log, api.Log)
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("[fleet]\nmembers = 3", r"fleet wants \[board\]"),
+        ('[board]\npath = "b"\n[fleet]\nfloor = 0.5', "fleet.members is missing"),
+        ('[board]\npath = "b"\n[fleet]\nmembers = 0', "fleet.members must be a whole number >= 1"),
+        ('[board]\npath = "b"\n[fleet]\nmembers = 3\nfloor = 0', "fleet.floor must be a number >= 0.01"),
+        ('[board]\npath = "b"\n[fleet]\nmembers = 3\nhosts = 3', "fleet.hosts is not known"),
+        ('[board]\npath = "b"\ntopics = ["shares"]', "is the fleet's"),
+    ],
+)
+def test_a_section_that_cannot_be_is_one_plain_error(text: str, said: str) -> None:
+    with pytest.raises(OperatorError, match=said):
+        operator.read(text, SETTINGS)
+
+
+def story(backend: str, *faults: dict[str, Any], **of: Any) -> sums.Experiment:
+    return sums.read({
+        "name": "x", "instances": 4, "backend": backend, "limit": 40.0, "length_s": 16.0, "moves_s": 8.0,
+        "least": 0.5, "beat_ms": 400, "fault": list(faults), **of,
+    })  # fmt: skip
+
+
+STORIES = {
+    "leans": story("table"),
+    "kill": story("table", {"at": 5.0, "what": "kill_part"}, least=0.0),
+    "pause": story("table", {"at": 5.0, "what": "pause", "who": "leaning", "for_s": 2.5}, least=0.0),
+    "stall": story("etcd", {"at": 5.0, "what": "stall", "for_s": 3.0}, least=0.0),
+    "part": story("etcd", {"at": 6.5, "what": "part", "who": "leaning", "for_s": 3.0}, least=0.0),
+    "part_to": story("etcd", {"at": 6.5, "what": "part_to", "who": "leaning", "for_s": 3.0}, least=0.0),
+    "part_from": story("etcd", {"at": 6.5, "what": "part_from", "who": "leaning", "for_s": 3.0}, least=0.0),
+}
+
+
+def tell(name: str) -> Report:
+    """One of them, in a process of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(sums.run(STORIES[name], Path(folder) / "run", 1))
+
+
+@pytest.fixture(scope="module")
+def reports() -> dict[str, Report]:
+    """All of them, some at a time, as most of it is waiting."""
+    with ProcessPoolExecutor(4) as pool:
+        return dict(zip(STORIES, pool.map(tell, STORIES), strict=True))
+
+
+@pytest.mark.parametrize("name", STORIES)
+def test_processes_together_keep_a_limit_whatever_breaks(reports: dict[str, Report], name: str) -> None:
+    assert not reports[name].wrong, reports[name]
+
+
+def test_the_judge_finds_a_limit_that_was_passed() -> None:
+    steady = [n / 40 for n in range(1, 401)]
+    assert sums.least_store(steady, 40.0) > 30
+    assert sums.least_store([*steady, *steady], 40.0) < -300
