--- a/sabledyke/fleet/part.py
+++ b/sabledyke/fleet/part.py
@@ -48,6 +48,7 @@
         self._at = 0  # ... the version of its cell, and since when that is known
         self._known = -1e18
         self._writer = 0  # the version of the cell in which this life stands
+        self._read: dict[str, tuple[int, tuple[int, Demands]]] = {}  # what was read of the others, by version
         self._quiet = True  # the word that stands asks for nothing
         self._shared = False  # it took more than its floor when last looked at
         self._task: asyncio.Task[None] | None = None
@@ -140,8 +141,10 @@
                 break
             first = page[-1][0] + "\0"
         self._stand(cells.pop(register_key(TOPIC, self._name), None))
-        cut = len(register_key(TOPIC, ""))
-        self.shares.look(began, self._clock(), {key[cut:]: _word(cell) for key, cell in cells.items()})
+        cut, known = len(register_key(TOPIC, "")), self._read
+        same = {k for k, cell in cells.items() if k in known and known[k][0] == cell.version}
+        self._read = {k: known[k] if k in same else (cell.version, _word(cell)) for k, cell in cells.items()}
+        self.shares.look(began, self._clock(), {key[cut:]: word for key, (_, word) in self._read.items()})
 
     async def _tell(self) -> None:
         """The next word; a BoardFault leaves open whether it stands, and the next look may say."""
