Let experiments on sums have a box that hangs, and say why turns of trials were left

Seen: with turns told on the board a hung box was tried 6.2 times a second by 12 processes, 6.6 without: no member took it for silent. Cause: Scheduler.darken wants an attempt that is out for two aims (SILENCE), or a connection that does not come up; attempts end at one aim (Send's timeout), so that what a hung box is sent is paced by its window. Ruled out: words not reaching the others (no member had a silent box to tell of, by a log line of my own). Change: the turns are not in the tree; lab/sums.py keeps the fault that showed it, judged by requests a second and by when work is back.

--- a/sabledyke/lab/sums.py
+++ b/sabledyke/lab/sums.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -20,7 +20,7 @@
 
 from sabledyke.lab.release import Fleet, Setting, play
 from sabledyke.lab.story import Report
-from sabledyke.lab.traffic import Client, Count
+from sabledyke.lab.traffic import SHARDS, Client, Count
 from sabledyke.typed import Table, convert, from_file, parsed
 
 LEANING, SPREAD = 1000, 1001  # volumes: one whose clients all come to one member, one whose come to all
@@ -29,13 +29,17 @@
 SETTLES = 3.0  # seconds after a move or a fault in which what is served does not count
 OFFERED = 2.0  # times its limit that each volume is asked for
 RATE = 8.0  # requests a second of one client
+FEW, BACK = 0.5, 0.5  # seconds that are looked at, and the part of the limit that says that work is back
 
 
 class FaultRow(Table, frozen=True, kw_only=True):
-    """What happens, when, to whom, for how long; ``leaning`` is the member that the clients lean on."""
+    """What happens, when, to whom, for how long; ``leaning`` is the member that the clients lean on.
+
+    ``hang``: the box that holds the spread volume answers nobody.
+    """
 
     at: Annotated[float, Meta(ge=0, le=600)]
-    what: Literal["kill", "kill_part", "pause", "stall", "part", "part_to", "part_from"]
+    what: Literal["kill", "kill_part", "pause", "stall", "part", "part_to", "part_from", "hang"]
     who: Literal["leaning", "other"] = "other"
     for_s: Annotated[float, Meta(ge=0, le=60)] = 0.0
     share: Annotated[float, Meta(gt=0, lt=1)] = 0.42  # of the members, that are killed at once
@@ -53,6 +57,8 @@
     length_s: Annotated[float, Meta(ge=1, le=600)] = 30.0
     moves_s: Annotated[float, Meta(ge=1, le=600)] = 10.0  # after so long clients lean on another member
     least: Annotated[float, Meta(ge=0, le=1)] = 0.0  # of its limit, that is served to the leaning volume
+    most_tried: Annotated[float, Meta(gt=0)] = 1e9  # requests a second at a box that has hung for a while
+    back_s: Annotated[float, Meta(gt=0)] = 1e9  # in which its work comes back to it
     fault: tuple[FaultRow, ...] = ()
 
 
@@ -80,12 +86,13 @@
     """What is told while one runs."""
 
     leans: int = 0  # the member that clients lean on
-    disturbed: list[tuple[float, float]] | None = None  # spans that do not count
+    disturbed: list[tuple[float, float]] = field(default_factory=list)  # spans that do not count
+    hung: list[tuple[float, float, list[float]]] = field(default_factory=list)  # from, to, what came
 
 
 async def run(what: Experiment, folder: Path, seed: int) -> Report:
     """Play it, and judge it."""
-    report, random, told = Report(), Random(seed), _Play(disturbed=[])
+    report, random, told = Report(), Random(seed), _Play()
     setting = Setting(
         what.instances, what.backend, clients=1, limit=what.limit, shares=what.shares, beat=what.beat_ms,
         ttl=3000, silent=8000, every=200, between=any("part" in f.what for f in what.fault),
@@ -126,7 +133,6 @@
 
 async def _move(what: Experiment, told: _Play) -> None:
     """Clients lean on one member after the other."""
-    assert told.disturbed is not None
     while True:
         now = time.monotonic()
         told.disturbed.append((now, now + SETTLES))
@@ -136,10 +142,12 @@
 
 async def _fault(fleet: Fleet, row: FaultRow, told: _Play, random: Random) -> None:
     await asyncio.sleep(row.at)
-    assert told.disturbed is not None
     began, size = time.monotonic(), fleet.setting.size
     others = [i for i in range(size) if i != told.leans]
-    if row.what == "kill_part":
+    if row.what == "hang":
+        came = await fleet.boxes.hang(SPREAD % SHARDS, row.for_s)
+        told.hung.append((began, time.monotonic(), came))
+    elif row.what == "kill_part":
         some = random.sample(range(size), max(1, int(size * row.share)))
         await asyncio.gather(*(fleet.fault("kill", i) for i in some))
     else:
@@ -152,7 +160,6 @@
     what: Experiment, fleet: Fleet, told: _Play, span: tuple[float, float], counts: dict[int, Count],
     report: Report,
 ) -> None:  # fmt: skip
-    assert told.disturbed is not None
     slack = max(LARGEST, SLACK * what.limit)
     for volume, name in {LEANING: "leaning", SPREAD: "spread"}.items():
         times, ends = fleet.boxes.units.get(f"{volume:016x}", []), counts[volume].ends
@@ -174,6 +181,17 @@
             report.wrong.append(f"{name}: {ends['cut']} answers were cut off and {ends['wrong']} wrong")
 
 
+    for began, ended, came in told.hung:
+        tried = sum(t > (began + ended) / 2 for t in came) / (ended - began) * 2
+        times = fleet.boxes.units.get(f"{SPREAD:016x}", [])
+        enough = what.limit * FEW * BACK
+        later = [t for t in times if t > ended]
+        back = next((t - ended for t in later if sum(t <= u < t + FEW for u in later) >= enough), 1e9)
+        report.lines.append(f"a box that hung was tried {tried:.1f} times a second, work back in {back:.2f} s")
+        if tried > what.most_tried or back > what.back_s:
+            report.wrong.append(f"it may be tried {what.most_tried:g} times, and want {what.back_s:g} s")
+
+
 def _calm(span: tuple[float, float], disturbed: list[tuple[float, float]]) -> float:
     """Seconds of the span that count."""
     calm, at = 0.0, span[0]
--- a/sabledyke/lab/traffic.py
+++ b/sabledyke/lab/traffic.py
@@ -56,6 +56,10 @@
         boxes, token = self._boxes, self.request.headers.get("Idempotency-Key", "")
         boxes.asked += 1
         boxes.came(self._number)
+        if self._number in boxes.hung:
+            boxes.hung[self._number].append(time.monotonic())
+            await boxes.changed_hung.wait()
+            return self.detach().close()
         boxes.units.setdefault(self.request.path.split("/")[2], []).append(time.monotonic())
         boxes.late += self._number in boxes.drained
         boxes.busy[self._number] += 1
@@ -94,6 +98,8 @@
     def __init__(self, copies: int = 1, takes: float = 0.005, warm: float = 0.5) -> None:
         self.takes, self.asked, self._warm = takes, 0, warm  # seconds until a new start is warm
         self.units: dict[str, list[float]] = {}  # by volume: when each unit came
+        self.hung: dict[int, list[float]] = {}  # boxes that answer nobody: when each request came
+        self.changed_hung = asyncio.Event()  # set for those that wait at a box which answers again
         self.pressed = 0.0  # the most that a cold box was sent, over what has it fall
         self._young: dict[int, tuple[float, deque[float]]] = {}  # of later starts: when, and what came lately
         self.ran: Counter[str] = Counter()  # by key
@@ -150,6 +156,15 @@
         if now > since + self._warm + FALL:
             del self._young[number]
 
+    async def hang(self, number: int, lasts: float) -> list[float]:
+        """It takes what comes and answers nobody for so many seconds; when each request came."""
+        came = self.hung[number] = list[float]()
+        await asyncio.sleep(lasts)
+        del self.hung[number]
+        self.changed_hung.set()
+        self.changed_hung = asyncio.Event()
+        return came
+
     async def replace(self, number: int, away: float) -> None:
         """Take a box away, and bring it back at another port as a later start."""
         self.drained.add(number)
