--- a/sabledyke/lab/sums.py
+++ b/sabledyke/lab/sums.py
@@ -187,7 +187,7 @@
         enough = what.limit * FEW * BACK
         later = [t for t in times if t > ended]
         back = next((t - ended for t in later if sum(t <= u < t + FEW for u in later) >= enough), 1e9)
-        report.lines.append(f"a box that hung was tried {tried:.1f} times a second, work back in {back:.2f} s")
+        report.lines.append(f"a hung box was tried {tried:.1f} times a second, work back in {back:.2f} s")
         if tried > what.most_tried or back > what.back_s:
             report.wrong.append(f"it may be tried {what.most_tried:g} times, and want {what.back_s:g} s")
 
