Say that a closed session may hold its file for a moment longer

Cause: SqliteSession.close said that it waits for what is under way; it hands the close to the connection's thread and returns, which is how a start could meet a lock of a session that was closed. No code changed.

--- a/sabledyke/store/session.py
+++ b/sabledyke/store/session.py
@@ -227,7 +227,9 @@
             self._finish()
 
     async def close(self) -> None:
-        """See ``Session``: waits for what is under way."""
+        """See ``Session``: what is under way is done first, in its thread, and nobody waits for it here: the
+        file may be held for a moment longer (``connect.patiently``).
+        """
         if not self.closed:
             self.closed = True
             self._finish()
