--- a/sabledyke/store/connect.py
+++ b/sabledyke/store/connect.py
@@ -13,11 +13,12 @@
 from sabledyke.store.session import Session, SqliteSession
 
 T = TypeVar("T")
+CONNECT = 0.3  # seconds for a connection to a server to come up, in service
 PATIENCE = 5.0  # seconds that a start waits for a database which another holds up
 WAITS = 0.02, 0.5  # seconds before it is asked again: the first wait, doubled up to the last
 
 
-async def connect(target: Target, *, create: bool = True, connect_s: float = 0.3) -> Session:
+async def connect(target: Target, *, create: bool = True, connect_s: float = CONNECT) -> Session:
     """A session; a StoreFault where it does not come up."""
     if target.path:
         session = SqliteSession(target.path, create=create)
--- a/sabledyke/store/part.py
+++ b/sabledyke/store/part.py
@@ -15,6 +15,7 @@
 from sabledyke.store.keeper import Keeper
 from sabledyke.store.recorder import Recorder
 from sabledyke.store.section import Section
+from sabledyke.store.session import Session
 from sabledyke.store.sqllink import SqlDialer
 
 if TYPE_CHECKING:
@@ -30,7 +31,11 @@
         self._target, config = section.record, host.config
         keeper = Keeper(config.name, section.limits, config.seed, section.kept)
         target = self._target
-        self.recorder = Recorder(keeper, lambda: connect(target), config.settings, host.entry)
+
+        async def opener(seconds: float) -> Session:
+            return await connect(target, connect_s=seconds)
+
+        self.recorder = Recorder(keeper, opener, config.settings, host.entry)
 
     def reports(self, onward: Report) -> Report:
         """See ``parts.Part``."""
--- a/sabledyke/store/recorder.py
+++ b/sabledyke/store/recorder.py
@@ -21,7 +21,7 @@
 from sabledyke.net.parts import Done, Submit
 from sabledyke.net.pool import Report
 from sabledyke.store import opening, statements
-from sabledyke.store.connect import patiently
+from sabledyke.store.connect import CONNECT, PATIENCE, patiently
 from sabledyke.store.drift import DriftWatch
 from sabledyke.store.faults import Kind, StoreFault
 from sabledyke.store.keeper import Attempt, Blocked, Effect, Go, Keeper, Moot, Say, Told
@@ -32,7 +32,7 @@
 MARGIN = GUARD + 1000 * TICK + 10  # ms before its deadline by which a served answer is passed on or given up
 FLUSH = 1.0  # seconds at the end for what is still to be written
 
-Opener = Callable[[], Awaitable[Session]]
+Opener = Callable[[float], Awaitable[Session]]  # seconds for a connection to come up
 
 
 @dataclass(slots=True)
@@ -87,7 +87,7 @@
 
     async def _take_life(self) -> None:
         if self._session is None or self._session.closed:
-            self._session = await self._opener()
+            self._session = await self._opener(PATIENCE)
         await opening.migrate(self._session)
         position = await opening.new_life(self._session, self.keeper.instance)
         longest = max(c.repeat_window for c in self.settings.classes)
@@ -321,7 +321,7 @@
         keeper.health.began(clock.now())
         try:
             if self._session is None or self._session.closed:
-                self._session = await self._opener()
+                self._session = await self._opener(CONNECT)
             async with asyncio.timeout(keeper.limits.give_up / 1000):
                 position = await opening.read_position(self._session, keeper.instance)
         except TimeoutError:
--- a/tests/test_store_record.py
+++ b/tests/test_store_record.py
@@ -122,6 +122,21 @@
     play(tmp_path, "sqlite", story)
 
 
+def test_a_start_waits_for_a_server_that_is_slow_to_take_it(tmp_path: Path) -> None:
+    async def story(made: StoreRig) -> None:
+        await made.leave()
+        sessions = made.postgres.sessions
+
+        async def script(point: Point) -> None:
+            await asyncio.sleep(0.5 * (point.session == sessions + 1 and point.number == 1))
+
+        made.postgres.script = script
+        await made.live()
+        assert made.postgres.sessions == sessions + 1
+
+    play(tmp_path, "postgresql", story)
+
+
 @pytest.mark.parametrize("backend", BACKENDS)
 def test_a_served_write_that_cannot_be_journalled_is_answered_failed(tmp_path: Path, backend: str) -> None:
     async def story(made: StoreRig) -> None:
