Read registers with their versions in one place

Cause: fleet/part.py paged through its topic's registers by a loop of its own, the twin of board/register.read. Change: register.cells gives them with their versions, and read is made of it. Behaviour as it was.

--- a/sabledyke/board/register.py
+++ b/sabledyke/board/register.py
@@ -9,7 +9,16 @@
 
 from collections.abc import Collection, Mapping
 
-from sabledyke.board.terms import VALUE_MOST, Shelf, Writer, register_key, said_of, version_of, writer_key
+from sabledyke.board.terms import (
+    VALUE_MOST,
+    Cell,
+    Shelf,
+    Writer,
+    register_key,
+    said_of,
+    version_of,
+    writer_key,
+)
 from sabledyke.errors import BoardFull, StaleWriter
 
 PAGE = 64  # cells of one read: at most 1 MiB
@@ -46,10 +55,15 @@
 
 async def read(shelf: Shelf, topic: str) -> dict[str, bytes]:
     """All of them as they stand, by name; not as of one moment where they take several pages."""
-    found, first, end = dict[str, bytes](), register_key(topic, ""), register_key(topic, "~")
+    return {name: cell.data for name, cell in (await cells(shelf, topic)).items()}
+
+
+async def cells(shelf: Shelf, topic: str) -> dict[str, Cell]:
+    """The same, with the version of each."""
+    found, first, end = dict[str, Cell](), register_key(topic, ""), register_key(topic, "~")
     while len(found) < MOST:
         page = await shelf.scan(first, end, PAGE)
-        found.update((key.removeprefix(register_key(topic, "")), cell.data) for key, cell in page)
+        found.update((key.removeprefix(register_key(topic, "")), cell) for key, cell in page)
         if len(page) < PAGE:
             break
         first = page[-1][0] + "\0"
--- a/sabledyke/fleet/part.py
+++ b/sabledyke/fleet/part.py
@@ -14,6 +14,7 @@
 import orjson
 
 from sabledyke import invariants, log
+from sabledyke.board import register
 from sabledyke.board.board import Board
 from sabledyke.board.section import Section as BoardSection
 from sabledyke.board.terms import Cell, register_key, said_of, writer_key
@@ -29,7 +30,6 @@
 if TYPE_CHECKING:
     from sabledyke.operator import Operator
 
-PAGE = 64  # cells of one look
 AGAIN = 0.2  # seconds before a board that did not answer is asked again
 OFTEN = 4  # looks in the time that a member may go without one
 
@@ -133,18 +133,11 @@
         self.shares.stands(number, self._clock())
 
     async def _look(self) -> None:
-        began, cells, first = self._clock(), dict[str, Cell](), register_key(TOPIC, "")
-        while True:
-            page = await self._shelf.scan(first, register_key(TOPIC, "~"), PAGE)
-            cells.update(page)
-            if len(page) < PAGE:
-                break
-            first = page[-1][0] + "\0"
-        self._stand(cells.pop(register_key(TOPIC, self._name), None))
-        cut, known = len(register_key(TOPIC, "")), self._read
-        same = {k for k, cell in cells.items() if k in known and known[k][0] == cell.version}
-        self._read = {k: known[k] if k in same else (cell.version, _word(cell)) for k, cell in cells.items()}
-        self.shares.look(began, self._clock(), {key[cut:]: word for key, (_, word) in self._read.items()})
+        began, cells, known = self._clock(), await register.cells(self._shelf, TOPIC), self._read
+        self._stand(cells.pop(self._name, None))
+        same = {n for n, cell in cells.items() if n in known and known[n][0] == cell.version}
+        self._read = {n: known[n] if n in same else (cell.version, _word(cell)) for n, cell in cells.items()}
+        self.shares.look(began, self._clock(), {name: word for name, (_, word) in self._read.items()})
 
     async def _tell(self) -> None:
         """The next word; a BoardFault leaves open whether it stands, and the next look may say."""
