Claim an operator's pen for each word it decides, as the command line did

Cause: read once more: rollout/word.py claimed its writer once, before the first look; a second operator's claim between two tries then ended the first with StaleWriter, where the command line's own loop had claimed anew for each try. Change: the claim stands after the look, as it did.

--- a/sabledyke/rollout/word.py
+++ b/sabledyke/rollout/word.py
@@ -36,9 +36,9 @@
     After a BoardFault it may have been written; it is asked for ``again`` so many times, and taken once. What
     ``decide`` raises ends it.
     """
-    pen = await board.claim(FLEET, OPERATOR)
     while True:
         move = decide(await look(board, reader))
+        pen = await board.claim(FLEET, OPERATOR)  # another operator's word since then shuts nobody out
         for left in reversed(range(again + 1)):
             try:
                 await write(pen, move)
