Check an attempt again in the turn that writes it

Cause: Pool._fly decided nothing at the write: what the module had decided when the connection was asked for (window, client, node, time) was written up to connect_timeout later, and httplink told the node the time-out of the decision as Req-Deadline. Core and module also counted the window to its last millisecond, though a scheduler may be held up for 0.15 s before it writes. Change: the pool asks Core.may_go in the turn that writes: is the client there (its connection is asked, also behind unread bytes), is the node as it was or within a quarter of its grace, is there time, does the key's window hold for 0.15 s more. What does not go has not run. The time told to a node is counted when it is told. A request in work keeps the class that it came with when SIGHUP changes its window.

--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -27,6 +27,13 @@
 # this long before, and attempts end earlier still, so that their time-outs reach the module first.
 GUARD, CUT = 30.0, 60.0
 LAST_LOOK = 10.0  # ms between looks, at the end, at what has come since
+# Part of the drain's grace in which an attempt may still be written that was decided before its node left the
+# list as ready; the policy uses up to half of the grace for its decisions.
+WRITE_GRACE = 0.25
+
+
+def _always() -> bool:
+    return True
 
 
 class Verdict(Enum):
@@ -60,6 +67,7 @@
     ran: tuple[float, api.NodeEntry] | None = None  # a former life sent it then, there
     sent_to: api.NodeEntry | None = None  # where its last attempt went
     part: float = 0.0  # see ``interface.Request``
+    present: Callable[[], bool] = _always  # its client is still there, as its connection tells at this moment
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,13 +120,13 @@
     """A request taken and not yet forgotten."""
 
     work: Work
+    kind: api.RequestClass  # as it came: a new configuration moves neither its name nor its window
     deadline: float
     done: Callable[[Answer], None]
     answered: bool = False
     attempts: int = 0
     out: dict[int, tuple[float, api.NodeEntry]] = field(default_factory=dict)
     ran: tuple[float, api.NodeEntry] | None = None  # first send that may have run, and where
-    kind: str = ""  # its class's name as it came: a new configuration does not move it
 
 
 class Core:
@@ -166,12 +174,12 @@
         self._ids += 1
         rid = self._ids
         deadline = min(now + work.remaining, self._until)
-        kind = self.settings.classes[work.class_].name
-        self._open[rid] = _Open(work, deadline, done, ran=work.ran, kind=kind)
+        kind = self.settings.classes[work.class_]
+        self._open[rid] = _Open(work, kind, deadline, done, ran=work.ran)
         heapq.heappush(self._timers, (now + work.remaining - GUARD, -1, rid))
         self._event(api.Request(
-            rid, work.class_, work.plan, work.key, work.remaining, work.volume, work.units, work.shard,
-            work.hosts, work.repeated, work.write, work.ran, work.part,
+            rid, work.class_, work.plan, work.key, max(0.0, work.remaining - CUT), work.volume, work.units,
+            work.shard, work.hosts, work.repeated, work.write, work.ran, work.part,
         ))  # fmt: skip
         return rid
 
@@ -215,6 +223,28 @@
         self._event(news)
         return gone
 
+    def may_go(self, now: float, rid: int, number: int) -> bool:
+        """Whether an attempt may be written now; asked in the turn that writes it, as its connection may
+        have taken long to come up.
+
+        Guards against work for a client that has left, for a node that drains or started anew meanwhile, past
+        the client's time, and past the window in which a repeat is recognised. What does not go has not run.
+        """
+        request = self._open.get(rid)
+        if request is None or request.answered or number not in request.out:
+            return False
+        if now >= request.deadline - CUT or not request.work.present():
+            return False
+        decided, entry = request.out[number]
+        here = self.nodes.get(entry.node)
+        if here is not None and here.started != entry.started:
+            return False
+        ready = here is not None and here.state is api.NodeState.READY
+        if not ready and now > decided + WRITE_GRACE * self.settings.drain_grace:
+            return False
+        others = [sent for other, sent in request.out.items() if other != number]
+        return self._may_run(now, request, entry, others)
+
     def busy(self, node: api.NodeId) -> bool:
         """Is an attempt out at this box?"""
         return any(entry.node == node for r in self._open.values() for _, entry in r.out.values())
@@ -258,9 +288,8 @@
     def _answer_all(self, now: float) -> None:
         """The end: whoever is owed an answer gets it now."""
         for rid, request in [(i, r) for i, r in self._open.items() if not r.answered]:
-            kind = self.settings.classes[request.work.class_]
             ran = request.ran is not None or bool(request.out)
-            harmless = not ran or kind.repeat is api.Repeat.IDEMPOTENT
+            harmless = not ran or request.kind.repeat is api.Repeat.IDEMPOTENT
             verdict = Verdict.REFUSED if harmless else Verdict.FAILED
             self._answer(rid, Answer(verdict, retry_after=self._advice(now, 0.0)))
             self._event(api.Departed(rid))
@@ -312,21 +341,26 @@
             entry = api.NodeEntry(node, -1, -1, -1, 0.0, 0.0, api.NodeState.GONE)
         assert entry is not None
         beyond = entry.state is api.NodeState.GONE
-        beyond |= not check(self._may_run(now, request, entry), "no repeat beyond its key", f"request {rid}")
+        repeats = self._may_run(now, request, entry, list(request.out.values()))
+        beyond |= not check(repeats, "no repeat beyond its key", f"request {rid}")
         request.out[number], request.work.sent_to = (now, entry), entry
         if beyond or number >= self.settings.max_attempts or left <= 0:
             self.ended(now, rid, number, Ended(Outcome.MOOT, False))
             return
         self.transport.start(rid, number, node, request.work, min(timeout, left) if timeout else left)
 
-    def _may_run(self, now: float, request: _Open, here: api.NodeEntry) -> bool:
-        """Rule 2, seen from here: a write is never sent again where and when its key does not hold."""
-        sent = [request.ran] if request.ran else list(request.out.values())
+    def _may_run(
+        self, now: float, request: _Open, here: api.NodeEntry, out: list[tuple[float, api.NodeEntry]]
+    ) -> bool:
+        """Rule 2, seen from here: a write is never sent again where and when its key does not hold.
+
+        ``out`` are its other attempts whose end is not known.
+        """
+        sent = [request.ran] if request.ran else out
         if not sent:
             return True
         at, first = min(sent, key=lambda s: s[0])
-        kind = self.settings.classes[request.work.class_]
-        return may_repeat(kind, at, (first.shard, first.zone), now, (here.shard, here.zone))
+        return may_repeat(request.kind, at, (first.shard, first.zone), now, (here.shard, here.zone))
 
     def _finish(self, rid: int, answer: Answer) -> None:
         if rid in self._open and not self._open[rid].answered:
@@ -337,7 +371,7 @@
         request = self._open[rid]
         check(not request.answered, "one final answer", f"request {rid}")
         request.answered = True
-        self.figures.answered(answer.verdict.value, request.kind)
+        self.figures.answered(answer.verdict.value, request.kind.name)
         request.done(answer)
 
     def _forget(self, rid: int) -> None:
--- a/sabledyke/net/httpfront.py
+++ b/sabledyke/net/httpfront.py
@@ -107,6 +107,7 @@
         if not streams.permits(self.stream, work.volume):
             raise HttpError("a client without a right to this volume", 403)
         self._ids.claim(clock.now(), work)
+        work.present = self._present
 
         def done(answer: Answer) -> None:
             self._rid = None
@@ -117,6 +118,9 @@
         self.fresh = False
         self._rid = self._submit(work, done)
 
+    def _present(self) -> bool:
+        return not streams.departed(self.stream)
+
     def _last(self, message: Message) -> bool:
         """Whether this answer ends its connection.
 
--- a/sabledyke/net/nvmefront.py
+++ b/sabledyke/net/nvmefront.py
@@ -93,6 +93,7 @@
         if not streams.permits(self.stream, work.volume):
             self.target.complete(Completion(command.cid, Status.ACCESS_DENIED, dnr=True), b"")
             return
+        work.present = lambda: not streams.departed(self.stream)
         self._rids[command.cid] = self._submit(work, done)
 
     def _watch(self) -> None:
--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -15,6 +15,7 @@
 
 Address = tuple[str, int]
 Report = Callable[[int, int, Ended], None]
+Permit = Callable[[int, int], bool]  # may this attempt be written now? See ``core.Core.may_go``
 IDLE_PART = 0.6  # of the time after which boxes close idle connections: ours are closed by then
 
 
@@ -78,6 +79,7 @@
     def __init__(self, rid: int, number: int, node: api.NodeId, work: Work) -> None:
         self.rid, self.number, self.node, self.work = rid, number, node, work
         self.slot: _Slot | None = None
+        self.until = 0.0  # the loop's time at which it expires
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -89,8 +91,11 @@
 class Pool:
     """The core's transport: keeps at most ``most`` connections and opens them with ``dial``."""
 
-    def __init__(self, settings: api.Settings, report: Report, most: int, dial: Dial) -> None:
+    def __init__(
+        self, settings: api.Settings, report: Report, most: int, dial: Dial, permit: Permit
+    ) -> None:
         self.settings, self._report, self.most, self._dial = settings, report, most, dial
+        self._permit = permit
         self._addresses: dict[api.NodeId, Address] = {}
         self._idle: dict[api.NodeId, list[_Slot]] = {}
         self._flights: dict[tuple[int, int], _Flight] = {}
@@ -113,7 +118,8 @@
         flight = _Flight(rid, number, node, work)
         self._flights[rid, number] = flight
         loop = asyncio.get_running_loop()
-        flight.timer = loop.call_later(timeout / 1000, self._expire, flight)
+        flight.until = loop.time() + timeout / 1000
+        flight.timer = loop.call_at(flight.until, self._expire, flight)
         flight.task = loop.create_task(self._fly(flight, timeout))
 
     def cancel(self, rid: int, number: int) -> None:
@@ -156,8 +162,14 @@
             if (flight.rid, flight.number) not in self._flights:  # given up while the connection came up
                 self._keep(slot)
                 return
+            # Guards against going by what held when the connection was asked for: it may have come up late.
+            left = (flight.until - asyncio.get_running_loop().time()) * 1000
+            if left <= 0 or not self._permit(flight.rid, flight.number):
+                self._keep(slot)
+                self._end(flight, Ended(Outcome.MOOT, False))
+                return
             flight.slot = slot
-            ended = await slot.link.exchange(flight.work, timeout)
+            ended = await slot.link.exchange(flight.work, left)
         except (streams.StreamClosedError, BadPeer, OSError) as fault:
             if isinstance(fault, BadPeer):
                 log.say("box", f"{api.name_of(flight.node)} is not understood: {fault}")
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -92,7 +92,7 @@
         for part in reversed(self.parts):
             self._connect = part.connect(self._connect)
             self._submit = functools.partial(_through, part, self._submit)
-        self.pool = Pool(settings, report, 0, self._dial)
+        self.pool = Pool(settings, report, 0, self._dial, self._may_go)
         transport: Transport = self.pool
         for part in reversed(self.parts):
             transport = part.transport(transport)
@@ -363,6 +363,9 @@
     def _ended(self, rid: int, number: int, ended: Ended) -> None:
         self.core.ended(clock.now(), rid, number, ended)
 
+    def _may_go(self, rid: int, number: int) -> bool:
+        return self.core.may_go(clock.now(), rid, number)
+
     def _wake(self) -> None:
         """Events wait: all that comes in this turn of the loop goes to the module as one batch."""
         if not self._scheduled:
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -10,6 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 READ = 64 * 1024  # bytes asked of a stream at a time
+PEER_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Stream(Protocol):
@@ -143,6 +145,18 @@
     return False
 
 
+def departed(stream: Stream) -> bool:
+    """Whether the peer has closed or reset its side, also behind bytes that were not read yet.
+
+    Guards against sending on a request whose client has gone while nobody looked at its connection.
+    """
+    if stream.closed() or stream.socket is None:
+        return True
+    poll = select.poll()
+    poll.register(stream.socket, PEER_CLOSED)
+    return any(events & PEER_CLOSED for _, events in poll.poll(0))
+
+
 def permits(stream: Stream, volume: int) -> bool:
     """Whether who speaks through it may touch a volume: all may, where nothing says who they are."""
     rights: frozenset[int] | None = getattr(stream, "rights", None)
@@ -168,5 +182,5 @@
 
 __all__ = [
     "READ", "IOStream", "Inbox", "Room", "Stream", "StreamClosedError", "StreamLink", "abort", "connect",
-    "half_close", "permits", "quiet",
+    "departed", "half_close", "permits", "quiet",
 ]  # fmt: skip
--- a/sabledyke/repeats.py
+++ b/sabledyke/repeats.py
@@ -8,6 +8,17 @@
 
 from sabledyke.interface import Group, Repeat, RequestClass
 
+# Milliseconds for which a scheduler may be held up between reading its clock and writing (STANDING, 'More
+# than these days'): what is decided inside a window must be written inside it.
+HELD_UP = 150.0
+
+
+def window_over(kind: RequestClass, sent_at: float, now: float) -> bool:
+    """Whether a request of this class, first sent then, may run nowhere any more."""
+    if kind.repeat is Repeat.IDEMPOTENT:
+        return False
+    return kind.repeat is Repeat.AT_MOST_ONCE or now + HELD_UP >= sent_at + kind.repeat_window
+
 
 def may_repeat(
     kind: RequestClass, sent_at: float, sent_to: tuple[int, int], now: float, here: tuple[int, int]
@@ -18,7 +29,7 @@
     """
     if kind.repeat is Repeat.IDEMPOTENT:
         return True
-    if kind.repeat is Repeat.AT_MOST_ONCE or now >= sent_at + kind.repeat_window:
+    if window_over(kind, sent_at, now):
         return False
     if kind.group is Group.CELL:
         return here[0] == sent_to[0]
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -14,6 +14,7 @@
 
 from sabledyke import interface as api
 from sabledyke.interface import Outcome
+from sabledyke.repeats import may_repeat, window_over
 from sabledyke.state import Job, Node, Pace, Records, Volume
 
 PERIOD, HOST_PERIOD = 1 / 3, 2 / 75  # shortest aims: a period at least, and for each host: floors must fit it
@@ -495,20 +496,15 @@
 
     def spent(self, job: Job) -> bool:
         """Rule 2: may this request run nowhere any more?"""
-        if job.ran is None or job.kind.repeat is api.Repeat.IDEMPOTENT:
-            return False
-        return job.kind.repeat is api.Repeat.AT_MOST_ONCE or self.now >= job.ran[0] + job.kind.repeat_window
+        return job.ran is not None and window_over(job.kind, job.ran[0], self.now)
 
     def may_repeat(self, job: Job, node: Node) -> bool:
         """Rule 2: may this request run at this node, given what may have run already?"""
-        if job.ran is None or job.kind.repeat is api.Repeat.IDEMPOTENT:
+        if job.ran is None:
             return True
-        entry = job.ran[1]
-        if self.spent(job):
-            return False
-        if job.kind.group is api.Group.CELL:
-            return entry.shard == node.entry.shard
-        return job.kind.group is api.Group.ALL or entry.zone == node.entry.zone
+        at, first = job.ran
+        there, here = (first.shard, first.zone), (node.entry.shard, node.entry.zone)
+        return may_repeat(job.kind, at, there, self.now, here)
 
     def may_try_again(self, job: Job, node: Node) -> bool:
         somewhere = job.ask.shard < 0 or self.may_repeat(job, node)
@@ -531,7 +527,7 @@
         job.volume.reserve += job.ask.units * (job.reserved and not job.sent)
         harmless = job.kind.repeat is api.Repeat.IDEMPOTENT or not job.ran
         if job.kind.repeat is api.Repeat.DEDUPLICATED and job.kind.group is api.Group.ALL and job.ran:
-            harmless = self.now < job.ran[0] + job.kind.repeat_window
+            harmless = not window_over(job.kind, job.ran[0], self.now)
         advice = min(max(wait, RETURN * self.aim), self.s.max_retry_after)
         self.out.append(api.Refuse(job.ask.id, advice) if harmless else api.Fail(job.ask.id))
         self.finish(job)
