--- /dev/null
+++ b/tests/test_node_connections.py
@@ -0,0 +1,122 @@
+"""What storage nodes do to their connections, and that a client gets its one answer all the same."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from tests.standins import Writer, ask, http
+from tests.test_net import GET, INFO, PUT, Rig, play
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def reset(writer: Writer) -> None:
+    raw = writer.transport.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def resets(writer: Writer) -> bytes | None:
+    reset(writer)
+    return None
+
+
+async def closes(_: Writer) -> bytes | None:
+    return None
+
+
+async def stops_halfway(writer: Writer) -> bytes | None:
+    writer.write(HEAD + b"Content-Length: 4\r\n\r\nba")
+    await asyncio.sleep(3600)
+    return None
+
+
+async def never_ends(writer: Writer) -> bytes | None:
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    while not writer.transport.is_closing():
+        writer.write(b"4000\r\n" + b"x" * 0x4000 + b"\r\n")
+        await writer.drain()
+    return None
+
+
+async def closes_early(writer: Writer) -> bytes | None:
+    writer.write(HEAD + b"Content-Length: 4\r\n\r\nba")
+    return None
+
+
+async def without_length_closed(writer: Writer) -> bytes | None:
+    writer.write(HEAD + b"\r\nwhole")
+    return None
+
+
+async def without_length_reset(writer: Writer) -> bytes | None:
+    writer.write(HEAD + b"\r\nbro")
+    await writer.drain()
+    reset(writer)
+    return None
+
+
+async def answers_twice(writer: Writer) -> bytes | None:
+    return http(200, b"good") + http(200, b"evil")
+
+
+ANSWERS = {
+    resets: None, closes: None, stops_halfway: None, never_ends: None, closes_early: None,
+    without_length_closed: b"whole", without_length_reset: None, answers_twice: b"good",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+@pytest.mark.parametrize("answer", list(ANSWERS))
+def test_whatever_a_node_answers_its_client_gets_one_whole_answer(answer: object, keyed: bool) -> None:
+    """What is served is what a node said whole; after it, the next request is served as ever."""
+
+    async def story(rig: Rig) -> None:
+        served = ANSWERS[answer]  # type: ignore[index]
+        rig.http.answer = answer  # type: ignore[assignment]
+        text = PUT.format(1, "spoilt", INFO + "Idempotency-Key: k\nContent-Length: 0\n") if keyed else ""
+        status, _, body = await ask(rig.port, text or GET.format(1, "spoilt", INFO))
+        assert (status, body) == (200, served) if served is not None else status in (500, 503)
+        sent = sum(headers["req-id"] == "spoilt" for _, headers, _ in rig.http.seen)
+        assert 1 <= sent <= rig.server.core.settings.max_attempts
+        rig.http.answer = None
+        rig.server.core.scheduler.nodes[b"plain"].dark = float("inf")
+        assert (await ask(rig.port, GET.format(2, "next", INFO)))[0] == 200
+        assert not rig.server.core.unanswered
+
+    play(story)
+
+
+@pytest.mark.parametrize("ends", ["closed", "reset", "said something"])
+def test_a_connection_that_its_node_ended_while_it_rested_is_not_written_to(ends: str) -> None:
+    """In the very turn in which its end has come; nobody has looked at it yet."""
+
+    async def story(rig: Rig) -> None:
+        writers: list[Writer] = []
+
+        async def note(writer: Writer) -> bytes | None:
+            writers.append(writer)
+            return http(200, b"good")
+
+        rig.http.answer = note
+        assert (await ask(rig.port, GET.format(1, "first", INFO)))[0] == 200
+        pool = rig.server.pool
+        (slot,) = pool._idle[b"plain"]
+        raw = writers[0].transport.get_extra_info("socket")
+        if ends == "said something":
+            writers[0].write(http(200, b"evil"))
+        elif ends == "closed":
+            raw.shutdown(1)
+        else:
+            reset(writers[0])
+            await asyncio.sleep(0)  # the transport closes its socket in the next turn
+        assert pool._reuse(b"plain") is None and slot.link.closed
+        status, _, body = await ask(rig.port, GET.format(2, "second", INFO))
+        assert (status, body) == (200, b"good") and writers[1] is not writers[0]
+        assert len(rig.http.seen) == 2
+
+    play(story)
