--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -18,9 +18,10 @@
 from sabledyke.figures import avoided
 from sabledyke.net import clock, streams
 from sabledyke.net.console import Console
-from sabledyke.net.front import ROOMY, Door, Front
+from sabledyke.net.front import ROOMY, Front
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
+from sabledyke.net.listener import Door
 from sabledyke.net.parts import Done, Host, Part, Submit
 from sabledyke.net.pool import Address, Connect, Dial, Link, Pool, Report, plain
 from sabledyke.net.watch import Watch
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 
 from sabledyke import interface as api
 from sabledyke.core import Ended
-from sabledyke.net import front, server, streams
+from sabledyke.net import front, listener, server, streams
 from sabledyke.protocol.http import MAX_INPUT
 from sabledyke.recovery.departure import Departure, Phase
 from tests.crossings import Line, Step, request, until
@@ -208,7 +208,7 @@
 HARD = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
 
 
-@pytest.mark.parametrize("fault", sorted(front.NEXT_ONE) + HARD)
+@pytest.mark.parametrize("fault", sorted(listener.NEXT_ONE) + HARD)
 @pytest.mark.parametrize("closes", [False, True])
 def test_a_failed_accept_hides_no_connection_and_never_spins(fault: int, closes: bool) -> None:
     async def story(rig: Rig) -> None:
@@ -225,7 +225,7 @@
         while not set(clients) - known:
             await asyncio.sleep(0.001)
         assert faulty.calls <= 4  # the failed one, the connection, and one or two that found nothing
-        if fault in front.NEXT_ONE:
+        if fault in listener.NEXT_ONE:
             assert door._again is None  # no pause: what failed was that connection alone
         if closes:
             while not door.closed:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from sabledyke import invariants, operator
 from sabledyke.config import Config
 from sabledyke.core import Ended
-from sabledyke.net import front, httpfront, nvmefront, streams, watch
+from sabledyke.net import front, httpfront, listener, nvmefront, streams, watch
 from sabledyke.net.nvmefront import NvmeClient
 from sabledyke.net.nvmepart import NvmePart
 from sabledyke.net.server import Server
@@ -526,9 +526,9 @@
 def test_a_crowd_at_the_door_is_let_in_by_and_by() -> None:
     async def story(rig: Rig) -> None:
         door, clients = rig.server.doors[0], rig.server.fronts[0].clients
-        crowd = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(2 * front.BATCH + 1)]
+        crowd = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(2 * listener.BATCH + 1)]
         door._ready()
-        assert len(clients) == front.BATCH
+        assert len(clients) == listener.BATCH
         while len(clients) < len(crowd):
             await asyncio.sleep(0)
         for sock in crowd:
