Rename Door to Listener, and the doors of optional parts to hooks

Names alone; one log line changes with them: 'the listener is closed, open connections are served on'.

--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -85,7 +85,7 @@
     # Guards against a module that counts on more open requests than the descriptors allow.
     settings = replace(settings, most_open=min(settings.most_open, sockets / CLIENTS))
     words = {name: said(name) for name in ("name", "listen", "discovery")}
-    # The console's door stays where it was opened: a reload that moved it would leave operators nowhere.
+    # The console's listener stays where it was opened: a reload that moved it would leave operators nowhere.
     console = before.console if before else _console(environ.get(PREFIX + "CONSOLE") or data.get("console"))
     memory = limits.get("memory_mb", 64)
     if not isinstance(memory, int | float) or not 1 <= memory < 1 << 20:
--- a/sabledyke/net/front.py
+++ b/sabledyke/net/front.py
@@ -216,7 +216,7 @@
         """So many connections that answers end theirs.
 
         Guards against clients that have no connection left for a request: those who ask once and stay would
-        hold all that they may have. Nobody is sent away to a door that closes.
+        hold all that they may have. Nobody is sent away to a listener that closes.
         """
         return self.departure is None and len(self.clients) > self.roomy
 
@@ -285,6 +285,6 @@
 
 
 def accepted(sock: socket.socket) -> streams.IOStream:
-    """The stream of a connection that a door accepted."""
+    """The stream of a connection that a listener accepted."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return streams.IOStream(sock, read_chunk_size=streams.READ)
--- a/sabledyke/net/listener.py
+++ b/sabledyke/net/listener.py
@@ -19,10 +19,10 @@
     errno.ECONNRESET,
 }  # fmt: skip
 ACCEPT_AGAIN = 0.05  # seconds until the next try, where the system has no descriptor or memory for one more
-LAST_TRIES = 40  # such tries of a door that closes
+LAST_TRIES = 40  # such tries of a listener that closes
 
 
-class Door:
+class Listener:
     """A listening socket."""
 
     def __init__(self, address: tuple[str, int], accept: Callable[[socket.socket, object], None]) -> None:
@@ -30,7 +30,7 @@
         self._socket = socket.socket(family, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Guards against a new version that cannot start while the old one serves: both listen, and the
-        # kernel spreads new connections over them until the old one closes its door.
+        # kernel spreads new connections over them until the old one closes its listener.
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self._socket.setblocking(False)
         self._socket.bind(address)
--- a/sabledyke/net/parts.py
+++ b/sabledyke/net/parts.py
@@ -1,7 +1,7 @@
-"""The doors of an optional part: what the server calls, so that it knows each part by one name only.
+"""The hooks of an optional part: what the server calls, so that it knows each part by one name only.
 
 A part is set up by its own package from its own section of the operator's file (``set_up``), is loaded only
-when that section is there, and overrides the doors it needs. Transports stack in the order in which
+when that section is there, and overrides the hooks it needs. Transports stack in the order in which
 ``server.PARTS`` names their parts: the first is next to the core, the last next to the pool.
 """
 
@@ -36,7 +36,7 @@
     depart: Callable[[int], None]  # the client of a request is gone
     connect: Connect  # the way to a box's address, through all parts
     warm: Callable[[api.NodeId], None]  # have a connection to a box ahead of need
-    ready: Callable[[], bool] = lambda: False  # its doors take clients
+    ready: Callable[[], bool] = lambda: False  # its listeners take clients
     leaving: Callable[[], bool] = lambda: False  # it was told to end
     reload: Callable[[], str] = lambda: ""  # take on the configuration as SIGHUP does: why not, or ""
     leave: Callable[[], None] = lambda: None  # have it end, as SIGTERM does
@@ -47,9 +47,9 @@
 
 
 class Part:
-    """An optional part; every door does nothing unless it is overridden."""
+    """An optional part; every hook does nothing unless it is overridden."""
 
-    in_turn = False  # this start was let in by a budget: the list is asked for at once, and doors wait for it
+    in_turn = False  # let in by a budget: the list is asked for at once, and listeners wait for it
 
     def reports(self, onward: Report) -> Report:
         """What a transport of this part reports to, given what is above it."""
@@ -83,7 +83,7 @@
         """The client of a request is gone; the core has not been told yet."""
 
     async def open(self) -> None:
-        """Before any door opens; a ConfigError ends the start in one plain line."""
+        """Before any listener opens; a ConfigError ends the start in one plain line."""
 
     def adopt(self, config: Config) -> None:
         """A new configuration is in force."""
--- a/sabledyke/net/server.py
+++ b/sabledyke/net/server.py
@@ -21,7 +21,7 @@
 from sabledyke.net.front import ROOMY, Front
 from sabledyke.net.httpfront import HttpClient
 from sabledyke.net.httplink import HttpDialer
-from sabledyke.net.listener import Door
+from sabledyke.net.listener import Listener
 from sabledyke.net.parts import Done, Host, Part, Submit
 from sabledyke.net.pool import Address, Connect, Dial, Link, Pool, Report, plain
 from sabledyke.net.watch import Watch
@@ -47,12 +47,12 @@
 )
 
 PHASES = {  # what each step of leaving is called in the log
-    Phase.STAYING: "the door is closed, open connections are served on",
+    Phase.STAYING: "the listener is closed, open connections are served on",
     Phase.PARTING: "answers end their connections",
     Phase.LAST: "final answers",
 }
 READING = 1.0  # seconds past the longest deadline for a client to take in its answer
-LISTED = 3.0  # seconds for the list, where doors wait for it
+LISTED = 3.0  # seconds for the list, where listeners wait for it
 LOOK = 0.01  # seconds between looks at how far the end has come
 SETTLE = 0.04  # seconds before the end from which on nothing is read any more
 SETTLE_LOOK = 0.002  # seconds between looks at whether all that was read has its answer
@@ -110,9 +110,9 @@
             front.guard = guards[0] if guards else None
         self._listens = [config.listen, *(listen for _, listen in more)]
         self._share_out(config)
-        self.doors: list[Door] = []
+        self.listeners: list[Listener] = []
         self.console = Console(self._call) if config.console else None
-        self._console_door: Door | None = None
+        self._console_listener: Listener | None = None
 
     def _set_up_parts(self, operator: Operator | None) -> list[Part]:
         if operator is None:
@@ -164,7 +164,7 @@
             await part.open()
 
     def start(self) -> None:
-        """Begin, and open the doors."""
+        """Begin, and open the listeners."""
         self._begin()
         self._open_doors()
 
@@ -189,22 +189,22 @@
 
     def _open_doors(self) -> None:
         for front, listen in zip(self.fronts, self._listens, strict=True):
-            self.doors.append(Door(listen, front.accept))
-            log.say("start", f"{self.config.name} serves at {listen[0]}:{self.doors[-1].port}")
+            self.listeners.append(Listener(listen, front.accept))
+            log.say("start", f"{self.config.name} serves at {listen[0]}:{self.listeners[-1].port}")
         if self.console is not None and self.config.console is not None:
-            self._console_door = Door(self.config.console, self.console.accept)
-            where = f"{self.config.console[0]}:{self._console_door.port}"
+            self._console_listener = Listener(self.config.console, self.console.accept)
+            where = f"{self.config.console[0]}:{self._console_listener.port}"
             log.say("start", f"{self.config.name} takes operators' calls at {where}")
 
     @property
     def console_port(self) -> int | None:
         """Where the console listens, also where any port was asked for."""
-        return None if self._console_door is None else self._console_door.port
+        return None if self._console_listener is None else self._console_listener.port
 
     @property
     def takes_clients(self) -> bool:
-        """The doors are open, and neither a drain nor the end sends clients away."""
-        return bool(self.doors) and not any(f.quiesced or f.leaving for f in self.fronts)
+        """The listeners are open, and neither a drain nor the end sends clients away."""
+        return bool(self.listeners) and not any(f.quiesced or f.leaving for f in self.fronts)
 
     def quiesce(self) -> None:
         """Send clients away: health says no, idle connections end now and busy ones with their answer."""
@@ -250,10 +250,10 @@
             if told is not None:
                 for part in self.parts:
                     part.check(told)
-            if new.listen != self.config.listen and self.doors:
-                door = Door(new.listen, self.fronts[0].accept)
-                self.doors[0].close()
-                self.doors[0] = door
+            if new.listen != self.config.listen and self.listeners:
+                listener = Listener(new.listen, self.fronts[0].accept)
+                self.listeners[0].close()
+                self.listeners[0] = listener
         except (ConfigError, SettingsError, OSError) as fault:
             self.core.figures.reloaded(False)
             log.say("reload", f"the new configuration is not used: {fault}")
@@ -294,16 +294,16 @@
         for front in self.fronts:
             front.departure = plan
         self._end_by(plan)
-        closing: list[Door] = []
+        closing: list[Listener] = []
         while (phase := plan.phase(self._loop.time() + SETTLE)) is not Phase.OVER:
             if phase is not Phase.OPEN:
-                while self.doors:
-                    closing.append(self.doors.pop())
+                while self.listeners:
+                    closing.append(self.listeners.pop())
                     closing[-1].close()
                 for front in self.fronts:
                     front.closing = True
-            doors = self.doors or not all(door.closed for door in closing)
-            if not doors and not any(front.clients for front in self.fronts):
+            listeners = self.listeners or not all(listener.closed for listener in closing)
+            if not listeners and not any(front.clients for front in self.fronts):
                 break
             if phase is not last:
                 held, owed = sum(len(front.clients) for front in self.fronts), self.core.unanswered
@@ -313,15 +313,15 @@
                 for front in self.fronts:
                     front.close_idle(self._loop.time(), LOOK)
             await asyncio.sleep(LOOK)
-        for door in closing:
-            door.give_up()
+        for listener in closing:
+            listener.give_up()
         await self._settle()
         for front in self.fronts:  # those that stopped halfway, and those that never read
             front.close()
         self.watch.stop()
         self.pool.close()
-        if self._console_door is not None and self.console is not None:
-            self._console_door.close()
+        if self._console_listener is not None and self.console is not None:
+            self._console_listener.close()
             self.console.close()
         for part in self.parts:
             await part.close()
--- a/sabledyke/recovery/departure.py
+++ b/sabledyke/recovery/departure.py
@@ -20,8 +20,8 @@
 class Phase(IntEnum):
     """Where a leaving scheduler is, in this order."""
 
-    OPEN = 0  # all as before: those on their way still find the door
-    STAYING = 1  # the door is closed; what comes on connections that stay open is served
+    OPEN = 0  # all as before: those on their way still find the listener
+    STAYING = 1  # the listener is closed; what comes on connections that stay open is served
     PARTING = 2  # the same, and ever more answers end their connections
     LAST = 3  # nothing is begun any more: what is owed gets its final answer, and connections rest no more
     OVER = 4  # what is left is closed
@@ -31,7 +31,7 @@
 class Times:
     """Seconds; each default from PROTOCOL, or a part of the time that it leaves."""
 
-    linger: float = 0.6  # the door stays open: 0.2 to 0.4 s, and a half more
+    linger: float = 0.6  # the listener stays open: 0.2 to 0.4 s, and a half more
     longest: float = 3.0  # a longer deadline counts as this
     grace: float = 0.7  # past the longest deadline SIGKILL may come
     margin: float = 0.12  # between the end and the earliest kill: turns of the loop, and a busy core
--- a/tests/store_rig.py
+++ b/tests/store_rig.py
@@ -120,8 +120,8 @@
 
     async def kill(self) -> None:
         """The server stops where it stands: nothing is answered, written or closed in good order."""
-        while self.server.doors:
-            self.server.doors.pop().close()
+        while self.server.listeners:
+            self.server.listeners.pop().close()
         self.server._turn = lambda: None  # type: ignore[method-assign]  # a dead process's guards do not fire
         recorder = self.recorder
         recorder._ending = True
@@ -154,18 +154,18 @@
     ) -> tuple[int, dict[str, str], bytes]:
         """A keyed write."""
         self.ids += 1
-        while not self.server.doors:  # between two lives
+        while not self.server.listeners:  # between two lives
             await asyncio.sleep(0.005)
         more = f"IO-Info: units=1,shard={shard},hosts=1\nIdempotency-Key: {key}\n"
         more += f"Content-Length: {len(body)}\n"
         text = PUT.format(f"{piece:x}", f"w{self.ids}", more).replace("Deadline: 1.0", f"Deadline: {wait}")
-        return await ask(self.server.doors[0].port, text, body)
+        return await ask(self.server.listeners[0].port, text, body)
 
     async def get(self, piece: int = 1, shard: int = 0) -> tuple[int, bytes]:
         """A read."""
         self.ids += 1
         text = GET.format(f"{piece:x}", f"r{self.ids}", f"IO-Info: units=1,shard={shard},hosts=1\n")
-        status, _, body = await ask(self.server.doors[0].port, text)
+        status, _, body = await ask(self.server.listeners[0].port, text)
         return status, body
 
     def rows(self, sql: str) -> list[tuple[Any, ...]]:
@@ -193,7 +193,7 @@
         await made.live()
         try:
             yield made
-            if made.server.doors:
+            if made.server.listeners:
                 await made.leave()
         finally:
             for box in made.boxes:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -212,13 +212,13 @@
 @pytest.mark.parametrize("closes", [False, True])
 def test_a_failed_accept_hides_no_connection_and_never_spins(fault: int, closes: bool) -> None:
     async def story(rig: Rig) -> None:
-        door, clients = rig.server.doors[0], rig.server.fronts[0].clients
-        door._socket = faulty = Faulty(door._socket, [fault])  # type: ignore[assignment]
+        opened, clients = rig.server.listeners[0], rig.server.fronts[0].clients
+        opened._socket = faulty = Faulty(opened._socket, [fault])  # type: ignore[assignment]
         known = set(clients)
         sock = socket.create_connection(("127.0.0.1", rig.port))
         if closes:
-            rig.server.doors.remove(door)
-            door.close()
+            rig.server.listeners.remove(opened)
+            opened.close()
         if fault in HARD and not closes:
             await until(lambda: faulty.calls)
             assert not asyncio.get_running_loop().remove_reader(faulty.fileno())  # it pauses
@@ -226,9 +226,9 @@
             await asyncio.sleep(0.001)
         assert faulty.calls <= 4  # the failed one, the connection, and one or two that found nothing
         if fault in listener.NEXT_ONE:
-            assert door._again is None  # no pause: what failed was that connection alone
+            assert opened._again is None  # no pause: what failed was that connection alone
         if closes:
-            while not door.closed:
+            while not opened.closed:
                 await asyncio.sleep(0.001)
         sock.close()
 
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -56,7 +56,7 @@
         plan, left, seen = Departure(0.0, 3.0, 7, planned=planned), 400, list[int]()
         for look in range(400):
             now = look / 100
-            if now in (0.5, 1.5, 2.5, 3.5):  # the door closes at 0.6, and it is over at 3.58
+            if now in (0.5, 1.5, 2.5, 3.5):  # the listener closes at 0.6, and it is over at 3.58
                 seen.append(400 - left)
             left -= sum(plan.sheds(now, 0.01) for _ in range(left))
         assert all(abs(was - is_) < 45 for was, is_ in zip(gone, seen, strict=True)), (planned, seen)
@@ -117,7 +117,7 @@
 
 
 def test_open_connections_are_served_on_and_end_with_an_answer() -> None:
-    """The door closes; who is connected is served until the end, and no answer is missing."""
+    """The listener closes; who is connected is served until the end, and no answer is missing."""
 
     async def story(rig: Program) -> None:
         lines = [await asyncio.open_connection("127.0.0.1", rig.port) for _ in range(8)]
@@ -215,7 +215,7 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         end = await leave(rig)
         began = asyncio.get_running_loop().time()
-        await asyncio.sleep(0.2)  # the door is closed by now
+        await asyncio.sleep(0.2)  # the listener is closed by now
         if what == "again":
             rig.server.leave()
             rig.server.leave()
@@ -224,7 +224,7 @@
         elif what == "reload":
             rig.config = replace(rig.config, settings=replace(rig.config.settings, max_attempts=2))
             rig.server.reload()
-            assert rig.server.core.settings.max_attempts == 2 and not rig.server.doors
+            assert rig.server.core.settings.max_attempts == 2 and not rig.server.listeners
         elif what == "resumed meanwhile":
             rig.server.resume()
         await say(writer, 1)
@@ -247,7 +247,7 @@
         new.leave()
         async with asyncio.timeout(1):
             await run
-        assert not new.doors
+        assert not new.listeners
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             asyncio.get_running_loop().remove_signal_handler(number)
 
@@ -274,7 +274,7 @@
         part.in_turn = in_turn
         server.parts.append(part)
         ends = asyncio.create_task(server.run())
-        while not server.doors:
+        while not server.listeners:
             await asyncio.sleep(0.001)
         assert (b"plain" in server.core.nodes) is knows
         server.leave()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -73,7 +73,7 @@
         self.server = Server(self.config, extras, BRISK, self.reread)
         await self.server.open()
         self.server.start()
-        self.port, self.nvme_port = (door.port for door in self.server.doors)
+        self.port, self.nvme_port = (opened.port for opened in self.server.listeners)
         return self
 
     def reread(self, _: Config) -> Config:
@@ -208,8 +208,8 @@
         two = await ask(rig.port, "GET /_health HTTP/1.1\n\n")  # still let in
         waiting = socket.create_connection(("127.0.0.1", rig.port))  # the machine has accepted it: taken
         waiting.sendall(b"GET /_health HTTP/1.1\r\n\r\n")
-        rig.server.doors[0].close()
-        rig.server.doors.pop(0)
+        rig.server.listeners[0].close()
+        rig.server.listeners.pop(0)
         assert two[0] == 200 and "connection" not in two[1]  # it stays as long as it may
         assert (await asyncio.to_thread(waiting.recv, 99)).startswith(b"HTTP/1.1 200")
         waiting.close()
@@ -525,9 +525,9 @@
 
 def test_a_crowd_at_the_door_is_let_in_by_and_by() -> None:
     async def story(rig: Rig) -> None:
-        door, clients = rig.server.doors[0], rig.server.fronts[0].clients
+        opened, clients = rig.server.listeners[0], rig.server.fronts[0].clients
         crowd = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(2 * listener.BATCH + 1)]
-        door._ready()
+        opened._ready()
         assert len(clients) == listener.BATCH
         while len(clients) < len(crowd):
             await asyncio.sleep(0)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -30,11 +30,11 @@
         new = Server(config, None, BRISK)  # binding the same port fails without SO_REUSEPORT
         await new.open()
         new.start()
-        assert new.doors[0].port == rig.port
+        assert new.listeners[0].port == rig.port
         rig.server.leave()
         ending = asyncio.create_task(rig.server.finish())
         answers = []
-        for n in range(60):  # before, during and after the old one's door closes
+        for n in range(60):  # before, during and after the old one's listener closes
             answers.append((await ask(rig.port, GET.format(1, f"i{n}", INFO)))[0])
             await asyncio.sleep(0.005)
         await ending
@@ -205,7 +205,7 @@
         answers = [await read_http(piped_reader) for _ in range(2)]  # both read, both answered
         assert [h.get("connection") for _, h, _ in answers] == [None, "close"]
         assert await piped_reader.read() == b""
-        assert rig.server.doors and not rig.server.takes_clients  # the process goes on
+        assert rig.server.listeners and not rig.server.takes_clients  # the process goes on
         assert (await call(rig.server.console_port, "POST", "/admin/resume"))[0] == 200
         status, headers, _ = await ask(rig.port, "GET /_health HTTP/1.1\n\n")
         assert status == 200 and "connection" not in headers
--- a/tests/test_store_link.py
+++ b/tests/test_store_link.py
@@ -64,7 +64,7 @@
         self.ids += 1
         more = f"{INFO}Idempotency-Key: {key}\nContent-Length: {len(body)}\n"
         text = PUT.format(f"{piece:x}", f"w{self.ids}", more)
-        status, _, answer = await ask(self.server.doors[0].port, text, body)
+        status, _, answer = await ask(self.server.listeners[0].port, text, body)
         return status, answer
 
     async def warm(self) -> None:
@@ -76,7 +76,7 @@
     async def get(self, piece: int = 1) -> tuple[int, bytes]:
         self.ids += 1
         text = GET.format(f"{piece:x}", f"r{self.ids}", INFO)
-        status, _, body = await ask(self.server.doors[0].port, text)
+        status, _, body = await ask(self.server.listeners[0].port, text)
         return status, body
 
     def rows(self, sql: str) -> list[tuple[object, ...]]:
--- a/tests/test_store_record.py
+++ b/tests/test_store_record.py
@@ -27,7 +27,7 @@
         async with rig(tmp_path, backend, extra) as made:
             await story(made)
             made.postgres.script = nothing
-            if made.server.doors:
+            if made.server.listeners:
                 await made.leave()
             said: list[str] = []
             assert await tools.audit(made.target(), said.append), said
--- a/tests/test_tls_net.py
+++ b/tests/test_tls_net.py
@@ -87,7 +87,7 @@
         self.ids += 1
         more = f"{INFO}Idempotency-Key: {write}\nContent-Length: 1\n" if write else INFO
         text = (PUT if write else GET).format("1", f"i{self.ids}", more).replace("/api/1/", f"/api/{volume}/")
-        port = self.server.doors[0].port
+        port = self.server.listeners[0].port
         try:
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", port, ssl=context, server_hostname="scheduler" if context else None
@@ -342,7 +342,7 @@
 
     async def story(rig: TlsRig) -> None:
         context = ssl.create_default_context(cadata=ROOT.root.decode())
-        port = rig.server.doors[0].port
+        port = rig.server.listeners[0].port
         inside = await asyncio.open_connection("127.0.0.1", port, ssl=context, server_hostname="scheduler")
         text = GET.format("1", "in", INFO).replace("\n", "\r\n").encode()
         inside[1].write(text)
@@ -375,7 +375,7 @@
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(asyncio, "open_connection", lambda *a, **k: connect(
                 *a, ssl=context, server_hostname="scheduler"))  # fmt: skip
-            host = NvmeHost(rig.server.doors[1].port, "nqn.2026-12.example:front")
+            host = NvmeHost(rig.server.listeners[1].port, "nqn.2026-12.example:front")
             await host.open()
             assert await host.write(1, 0, bytes(512)) & 0x7FF == 0  # status code and type
             seen = len(box.seen)
@@ -402,7 +402,7 @@
     box = TlsNvmeBox()
 
     async def story(rig: TlsRig) -> None:
-        host = NvmeHost(rig.server.doors[1].port, "nqn.2026-12.example:front")
+        host = NvmeHost(rig.server.listeners[1].port, "nqn.2026-12.example:front")
         await host.open()
         assert await host.write(1, 8, b"\x07" * 1024, key=5) == 0
         assert await host.read(1, 8, 2) == (0, b"\x07" * 1024)
