--- a/sabledyke/net/pool.py
+++ b/sabledyke/net/pool.py
@@ -65,7 +65,7 @@
     return await streams.connect(address, connect_ms)
 
 
-class _Slot:
+class _PooledConnection:
     """A link and its place in the pool."""
 
     def __init__(self, node: api.NodeId, address: Address, link: Link) -> None:
@@ -73,19 +73,19 @@
         self.expiry: asyncio.TimerHandle | None = None
 
 
-class _Flight:
+class _Attempt:
     """An attempt under way."""
 
     def __init__(self, rid: int, number: int, node: api.NodeId, work: Work) -> None:
         self.rid, self.number, self.node, self.work = rid, number, node, work
-        self.slot: _Slot | None = None
+        self.connection: _PooledConnection | None = None
         self.until = 0.0  # the loop's time at which it expires
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
     @property
     def may_have_run(self) -> bool:
-        return self.slot is not None and self.slot.link.may_have_run
+        return self.connection is not None and self.connection.link.may_have_run
 
 
 class Pool:
@@ -97,9 +97,9 @@
         self.settings, self._report, self.most, self._dial = settings, report, most, dial
         self._permit = permit
         self._addresses: dict[api.NodeId, Address] = {}
-        self._idle: dict[api.NodeId, list[_Slot]] = {}
-        self._flights: dict[tuple[int, int], _Flight] = {}
-        self._slots = 0
+        self._idle: dict[api.NodeId, list[_PooledConnection]] = {}
+        self._attempts: dict[tuple[int, int], _Attempt] = {}
+        self._count = 0
         self._warming: dict[api.NodeId, asyncio.Task[None]] = {}  # one at a time for a box
         self._closed = False
 
@@ -115,27 +115,27 @@
 
     def start(self, rid: int, number: int, node: api.NodeId, work: Work, timeout: float) -> None:
         """See ``core.Transport``."""
-        flight = _Flight(rid, number, node, work)
-        self._flights[rid, number] = flight
+        attempt = _Attempt(rid, number, node, work)
+        self._attempts[rid, number] = attempt
         loop = asyncio.get_running_loop()
-        flight.until = loop.time() + timeout / 1000
-        flight.timer = loop.call_at(flight.until, self._expire, flight)
-        flight.task = loop.create_task(self._fly(flight, timeout))
+        attempt.until = loop.time() + timeout / 1000
+        attempt.timer = loop.call_at(attempt.until, self._expire, attempt)
+        attempt.task = loop.create_task(self._carry_out(attempt, timeout))
 
     def cancel(self, rid: int, number: int) -> None:
         """See ``core.Transport``."""
-        flight = self._flights.get((rid, number))
-        if flight is not None:
-            self._end(flight, Ended(Outcome.CANCELLED, _given_up(flight)))
+        attempt = self._attempts.get((rid, number))
+        if attempt is not None:
+            self._end(attempt, Ended(Outcome.CANCELLED, _given_up(attempt)))
 
     def close_idle(self, node: api.NodeId) -> None:
         """See ``core.Transport``."""
-        for slot in self._idle.pop(node, []):
-            self._discard(slot)
+        for connection in self._idle.pop(node, []):
+            self._discard(connection)
 
     def warm(self, node: api.NodeId) -> None:
         """Open a connection ahead of need, where none rests and there is room; nothing is said on it."""
-        if self._idle.get(node) or node not in self._addresses or self._slots >= self.most or self._closed:
+        if self._idle.get(node) or node not in self._addresses or self._count >= self.most or self._closed:
             return
         if node not in self._warming:
             self._warming[node] = asyncio.get_running_loop().create_task(self._warm(node))
@@ -156,43 +156,43 @@
         for node in list(self._idle):
             self.close_idle(node)
 
-    async def _fly(self, flight: _Flight, timeout: float) -> None:
+    async def _carry_out(self, attempt: _Attempt, timeout: float) -> None:
         try:
-            slot = self._reuse(flight.node) or await self._open(flight.node, timeout)
-            if (flight.rid, flight.number) not in self._flights:  # given up while the connection came up
-                self._keep(slot)
+            connection = self._reuse(attempt.node) or await self._open(attempt.node, timeout)
+            if (attempt.rid, attempt.number) not in self._attempts:  # given up while the connection came up
+                self._keep(connection)
                 return
             # Guards against going by what held when the connection was asked for: it may have come up late.
-            left = (flight.until - asyncio.get_running_loop().time()) * 1000
-            if left <= 0 or not self._permit(flight.rid, flight.number):
-                self._keep(slot)
-                self._end(flight, Ended(Outcome.MOOT, False))
+            left = (attempt.until - asyncio.get_running_loop().time()) * 1000
+            if left <= 0 or not self._permit(attempt.rid, attempt.number):
+                self._keep(connection)
+                self._end(attempt, Ended(Outcome.MOOT, False))
                 return
-            flight.slot = slot
-            ended = await slot.link.exchange(flight.work, left)
+            attempt.connection = connection
+            ended = await connection.link.exchange(attempt.work, left)
         except (streams.StreamClosedError, BadPeer, OSError) as fault:
             if isinstance(fault, BadPeer):
-                log.say("box", f"{api.name_of(flight.node)} is not understood: {fault}")
-            ran = flight.may_have_run
-            self._end(flight, Ended(Outcome.RESET if ran else Outcome.NO_CONNECTION, ran))
+                log.say("box", f"{api.name_of(attempt.node)} is not understood: {fault}")
+            ran = attempt.may_have_run
+            self._end(attempt, Ended(Outcome.RESET if ran else Outcome.NO_CONNECTION, ran))
             return
-        if flight.slot is not None and slot.link.reusable:
-            flight.slot = None
-            self._keep(slot)
-        self._end(flight, ended)
+        if attempt.connection is not None and connection.link.reusable:
+            attempt.connection = None
+            self._keep(connection)
+        self._end(attempt, ended)
 
-    async def _open(self, node: api.NodeId, patience: float) -> _Slot:
+    async def _open(self, node: api.NodeId, patience: float) -> _PooledConnection:
         address = self._addresses.get(node)
-        if self._slots >= self.most:
+        if self._count >= self.most:
             self._make_room()
-        if address is None or self._slots >= self.most:
+        if address is None or self._count >= self.most:
             log.say("pool", f"no connection to spare for {api.name_of(node)}")
             raise streams.StreamClosedError
-        self._slots += 1
+        self._count += 1
         try:
-            return _Slot(node, address, await self._dial(node, address, patience))
+            return _PooledConnection(node, address, await self._dial(node, address, patience))
         except BaseException:
-            self._slots -= 1
+            self._count -= 1
             raise
 
     def _make_room(self) -> None:
@@ -201,59 +201,60 @@
             node = max(self._idle, key=lambda n: len(self._idle[n]))
             self._drop_idle(self._idle[node][0])
 
-    def _reuse(self, node: api.NodeId) -> _Slot | None:
+    def _reuse(self, node: api.NodeId) -> _PooledConnection | None:
         while self._idle.get(node):
-            slot = self._idle[node][-1]
-            if self._take(slot):
-                return slot
-            self._discard(slot)
+            connection = self._idle[node][-1]
+            if self._take(connection):
+                return connection
+            self._discard(connection)
         return None
 
-    def _keep(self, slot: _Slot) -> None:
-        if self._closed or slot.link.closed or self._addresses.get(slot.node) != slot.address:
-            self._discard(slot)
+    def _keep(self, connection: _PooledConnection) -> None:
+        moved = self._addresses.get(connection.node) != connection.address
+        if self._closed or connection.link.closed or moved:
+            self._discard(connection)
             return
-        self._idle.setdefault(slot.node, []).append(slot)
+        self._idle.setdefault(connection.node, []).append(connection)
         after = self.settings.idle_timeout * IDLE_PART / 1000
-        slot.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, slot)
-        slot.link.rest(lambda: self._drop_idle(slot))
+        connection.expiry = asyncio.get_running_loop().call_later(after, self._drop_idle, connection)
+        connection.link.rest(lambda: self._drop_idle(connection))
 
-    def _take(self, slot: _Slot) -> bool:
+    def _take(self, connection: _PooledConnection) -> bool:
         """Out of the idle ones; whether it can be used."""
-        self._idle[slot.node].remove(slot)
-        if not self._idle[slot.node]:
-            del self._idle[slot.node]
-        if slot.expiry is not None:
-            slot.expiry.cancel()
-        return slot.link.wake()
-
-    def _drop_idle(self, slot: _Slot) -> None:
-        if slot in self._idle.get(slot.node, ()):
-            self._take(slot)
-            self._discard(slot)
-
-    def _discard(self, slot: _Slot) -> None:
-        slot.link.close()
-        self._slots -= 1
-
-    def _expire(self, flight: _Flight) -> None:
-        ran = _given_up(flight)
-        self._end(flight, Ended(Outcome.TIMEOUT if ran else Outcome.NO_CONNECTION, ran))
-
-    def _end(self, flight: _Flight, ended: Ended) -> None:
+        self._idle[connection.node].remove(connection)
+        if not self._idle[connection.node]:
+            del self._idle[connection.node]
+        if connection.expiry is not None:
+            connection.expiry.cancel()
+        return connection.link.wake()
+
+    def _drop_idle(self, connection: _PooledConnection) -> None:
+        if connection in self._idle.get(connection.node, ()):
+            self._take(connection)
+            self._discard(connection)
+
+    def _discard(self, connection: _PooledConnection) -> None:
+        connection.link.close()
+        self._count -= 1
+
+    def _expire(self, attempt: _Attempt) -> None:
+        ran = _given_up(attempt)
+        self._end(attempt, Ended(Outcome.TIMEOUT if ran else Outcome.NO_CONNECTION, ran))
+
+    def _end(self, attempt: _Attempt, ended: Ended) -> None:
         """The one report of an attempt; a connection it still holds is closed, which gives it up."""
-        if self._flights.pop((flight.rid, flight.number), None) is None:
+        if self._attempts.pop((attempt.rid, attempt.number), None) is None:
             return
-        if flight.timer is not None:
-            flight.timer.cancel()
-        slot, flight.slot = flight.slot, None
-        if slot is not None:
-            self._discard(slot)
-        self._report(flight.rid, flight.number, ended)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        connection, attempt.connection = attempt.connection, None
+        if connection is not None:
+            self._discard(connection)
+        self._report(attempt.rid, attempt.number, ended)
 
 
-def _given_up(flight: _Flight) -> bool:
+def _given_up(attempt: _Attempt) -> bool:
     """Close what an attempt holds; only then can be said for good whether it may have run."""
-    if flight.slot is not None:
-        flight.slot.link.close()
-    return flight.may_have_run
+    if attempt.connection is not None:
+        attempt.connection.link.close()
+    return attempt.may_have_run
--- a/tests/store_rig.py
+++ b/tests/store_rig.py
@@ -138,9 +138,9 @@
                 client.departed = lambda: None  # type: ignore[method-assign]
                 client.close()
         self.server.watch.watch(False)
-        for flight in list(self.server.pool._flights.values()):
-            if flight.slot is not None:
-                flight.slot.link.close()
+        for flight in list(self.server.pool._attempts.values()):
+            if flight.connection is not None:
+                flight.connection.link.close()
         self.server.pool.close()
         await asyncio.sleep(0.02)
 
--- a/tests/test_attempt_recheck.py
+++ b/tests/test_attempt_recheck.py
@@ -62,7 +62,7 @@
 
 
 def is_late(rig: Rig, line: Line) -> None:
-    for flight in rig.server.pool._flights.values():
+    for flight in rig.server.pool._attempts.values():
         flight.until -= 0.5
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -371,7 +371,7 @@
         for n, shard in enumerate((0, 1, 0, 1)):
             text = PUT.format(1, n, INFO.replace("shard=0", f"shard={shard}") + "Content-Length: 0\n")
             assert (await ask(rig.port, text.replace("/1/", f"/{shard + 1}/")))[0] == 200
-            assert rig.server.pool._slots == 1
+            assert rig.server.pool._count == 1
 
     play(story)
 
@@ -588,7 +588,7 @@
         server._listed(discovery.read(rig.discovery.listing(), DEPLOYMENT))
         delta = {"seq": 2, "whole": False, "hosts": [rig.discovery.hosts[0] | {"health": "gone"}]}
         server._listed(discovery.read(delta, DEPLOYMENT))
-        assert not server.core.nodes and not server.pool._addresses and not server.pool._slots
+        assert not server.core.nodes and not server.pool._addresses and not server.pool._count
         assert association.left and not nvme.dialer._associations
         host.close()
 
--- a/tests/test_tls_net.py
+++ b/tests/test_tls_net.py
@@ -72,7 +72,7 @@
         self.box.die()
         self.discovery.die()
         assert not invariants.broken
-        assert not self.server.pool._slots  # no descriptor is lost
+        assert not self.server.pool._count  # no descriptor is lost
 
     @property
     def part(self) -> TlsPart:
@@ -428,7 +428,7 @@
         rig.discovery.hosts.pop()
         rig.server._listed(discovery.read(rig.discovery.listing(), DEPLOYMENT))
         await asyncio.sleep(0.15)
-        assert not rig.server.pool._slots and not rig.part._used  # none to a box that is gone
+        assert not rig.server.pool._count and not rig.part._used  # none to a box that is gone
 
     play(tmp_path, box, story)
 
