Begin policy/: retries (was repeats.py) and the schedule of calls to discovery

The draws come in the same order, so that the same seed decides the same. Measured: test_watch, test_rules, test_failures, test_mechanism, test_readme pass.

--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -20,7 +20,7 @@
 from sabledyke.figures import Figures
 from sabledyke.interface import Outcome
 from sabledyke.invariants import check
-from sabledyke.repeats import may_repeat
+from sabledyke.policy.retry import may_repeat
 from sabledyke.rules import Scheduler
 
 # The client must have its answer inside its deadline, which it counts from when it sent: the core answers
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -14,7 +14,8 @@
 
 from sabledyke import interface as api
 from sabledyke.interface import Outcome
-from sabledyke.repeats import may_repeat, window_over
+from sabledyke.policy.discovery_schedule import DiscoverySchedule
+from sabledyke.policy.retry import may_repeat, window_over
 from sabledyke.state import Job, Node, Pace, Records, Volume
 
 PERIOD, HOST_PERIOD = 1 / 3, 2 / 75  # shortest aims: a period at least, and for each host: floors must fit it
@@ -36,10 +37,6 @@
 PARTING = 0.5  # part of the time in which a draining node may be sent work that is made use of
 TIDY = 10000.0  # ms between looks at what can be forgotten, which has rested for as long
 TICK = 10.0  # ms between looks at what is held or out
-WATCH_START, WATCH_SPREAD = (500.0, 8000.0), 125.0  # ms: over which first calls come; for each host
-# Longest wait after a call that failed, and least part of a wait that is drawn. A change counts as told 6 s
-# after discovery can be reached, and a drain leaves 2 s more: the call may take 3 s (``protocol.silence``).
-WATCH_AGAIN, WATCH_LEAST = 4500.0, 0.5
 LINGERS = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
 WAKE, WATCH = 1, 2  # timer tokens
 TURN = {kind: turn for turn, kind in enumerate((api.NodeList, api.AnswerStarted, api.Attempted, api.Request))}
@@ -64,10 +61,7 @@
         # Budgets are in requests a period: fixed seconds would starve where they are many and small.
         self.period = max(PERIOD, HOST_PERIOD * settings.hosts) * self.aim
         self.silence = SILENCE * self.aim
-        # One discovery hears all hosts in turn, and works off also the calls that were given up meanwhile:
-        # where all start or fail at once, their calls must come over the time that it takes for all of them.
-        self.spread = min(max(WATCH_START[0], WATCH_SPREAD * settings.hosts), WATCH_START[1])
-        self.watch_wait = min(self.spread, WATCH_AGAIN)
+        self.discovery = DiscoverySchedule(settings.hosts)
         self.best = max(c.worth for c in settings.classes) * max(p.worth_factor for p in settings.plans)
         for node in self.nodes.values():  # periods are counted in their own length
             node.period = int(self.now // self.period)
@@ -78,7 +72,8 @@
         self.now, self.late, self.out = now, max(0.0, now - self.alarm - TICK), []
         if self.born == -inf:
             self.born = now
-            self.out += [api.SetTimer(WATCH, self.random.random() * self.spread)] if self.s.asks_list else []
+            if self.s.asks_list:
+                self.out.append(api.SetTimer(WATCH, self.discovery.first_call(self.random.random())))
         # A host that stood still finds everything at once: news counts before anything is judged or sent.
         for event in sorted(events, key=lambda e: TURN.get(type(e), len(TURN))):
             match event:
@@ -111,11 +106,9 @@
 
     def listed(self, news: api.NodeList) -> None:
         if news.kind is api.ListKind.FAILED:
-            part = WATCH_LEAST + (1 - WATCH_LEAST) * self.random.random()
-            self.out.append(api.SetTimer(WATCH, self.watch_wait * part))
-            self.watch_wait = min(2 * self.watch_wait, WATCH_AGAIN)
+            self.out.append(api.SetTimer(WATCH, self.discovery.call_failed(self.random.random())))
             return
-        self.watch_wait = min(self.spread, WATCH_AGAIN)
+        self.discovery.call_answered()
         for entry in news.entries:
             node = self.nodes.get(entry.node)
             if node is None or entry.started != node.entry.started:
--- a/sabledyke/store/keeper.py
+++ b/sabledyke/store/keeper.py
@@ -19,7 +19,7 @@
 from itertools import islice
 
 from sabledyke.interface import RequestClass
-from sabledyke.repeats import may_repeat
+from sabledyke.policy.retry import may_repeat
 from sabledyke.store import journal
 from sabledyke.store.faults import Kind, StoreFault
 from sabledyke.store.health import Health, Limits, State
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 
 from sabledyke import interface as api
 from sabledyke.interface import Outcome
-from sabledyke.repeats import HELD_UP
+from sabledyke.policy.retry import HELD_UP
 from tests.helpers import READ, WRITE, Rig, listing, node, of
 
 
@@ -195,7 +195,7 @@
 
 def test_watch_at_start_and_again_after_failure_with_backoff() -> None:
     rig = Rig(asks_list=True)
-    rig.wait(rig.scheduler.spread)
+    rig.wait(rig.scheduler.discovery.first_call_spread)
     assert len(of(rig.log, api.WatchList)) == 1
     waits = []
     for _ in range(4):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -101,4 +101,4 @@
         rig.now += timer.delay
     rig.scheduler.adopt(replace(rig.scheduler.s, mean_units=3))
     (timer,) = helpers.of(rig.do(api.NodeList(api.ListKind.FAILED, 0, ())), api.SetTimer)
-    assert timer.delay <= rig.scheduler.spread  # new settings: the pauses begin anew
+    assert timer.delay <= rig.scheduler.discovery.first_call_spread  # new settings: the pauses begin anew
