--- a/benchmarks/tls.py
+++ b/benchmarks/tls.py
@@ -189,7 +189,7 @@
     schedulers = [Admission(terms, seed) for seed in range(20)]
     begun: list[float] = []
     waiting = [[(n, 0.0) for n in range(40)] for _ in schedulers]
-    for ms in range(0, 30_000):
+    for ms in range(30_000):
         for one, wanting in zip(schedulers, waiting, strict=True):
             go, late = one.due(ms, b"box")
             begun += [ms] * len(go)
--- a/sabledyke/lab/modelboard.py
+++ b/sabledyke/lab/modelboard.py
@@ -37,13 +37,21 @@
     """What a model's state has, a NamedTuple."""
 
     @property
-    def records(self) -> tuple[Record, ...]: ...
+    def records(self) -> tuple[Record, ...]:
+        """All records, in order."""
+
     @property
-    def next(self) -> int: ...
+    def next(self) -> int:
+        """The number of the next record."""
+
     @property
-    def processes(self) -> tuple[Any, ...]: ...
+    def processes(self) -> tuple[Any, ...]:
+        """The processes of this state."""
+
     @property
-    def coordinators(self) -> tuple[Coordinator, ...]: ...
+    def coordinators(self) -> tuple[Coordinator, ...]:
+        """The coordinators of this state."""
+
     def _replace(self, *args: Any, **kwargs: Any) -> Any: ...
 
 
--- a/sabledyke/net/__init__.py
+++ b/sabledyke/net/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers on Tornado's streams: fronts, listeners, connections to nodes, the watch, start and end."""
--- a/sabledyke/rules.py
+++ b/sabledyke/rules.py
@@ -14,6 +14,7 @@
 
 from sabledyke import interface as api
 from sabledyke.interface import Outcome
+from sabledyke.policy import slow_start
 from sabledyke.policy.discovery_schedule import DiscoverySchedule
 from sabledyke.policy.retry import may_repeat, window_over
 from sabledyke.state import Job, Node, Pace, Records, Volume
@@ -32,7 +33,6 @@
 PATIENCE, OVERDUE, LOSSY = 0.4, 2.5, 0.05  # overdue after shortest aims, answer times; share of answers lost
 RETURN = 0.25  # shortest aims that a refused client is asked to stay away at least
 SILENCE, TRIALS = 2.0, 4 / 3  # shortest aims without a sign of life; trials then back off up to so many
-LUCK = 0.5  # part of a young node's safe units that all hosts together aim at
 CROWDED = 0.7  # part of the places for open requests above which the least worth is not held
 PARTING = 0.5  # part of the time in which a draining node may be sent work that is made use of
 TIDY = 10000.0  # ms between looks at what can be forgotten, which has rested for as long
@@ -67,6 +67,7 @@
             node.period = int(self.now // self.period)
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        """Take a batch of events that came by ``now``, and return what is to be done."""
         if now < self.now:
             raise ValueError(f"time went back from {self.now} to {now}")
         self.now, self.late, self.out = now, max(0.0, now - self.alarm - TICK), []
@@ -105,6 +106,7 @@
         return self.out
 
     def listed(self, news: api.NodeList) -> None:
+        """News of the list of nodes, or that a call for it failed."""
         if news.kind is api.ListKind.FAILED:
             self.out.append(api.SetTimer(WATCH, self.discovery.call_failed(self.random.random())))
             return
@@ -143,6 +145,7 @@
         return draining and self.now < node.leaves + PARTING * self.s.drain_grace
 
     def make(self, entry: api.NodeEntry) -> Node:
+        """A node met for the first time, or started anew: it begins with what its kind shows."""
         window = max(1.0, WINDOW_START / self.s.hosts) * self.mean
         like = self.kinds.setdefault(entry.kind, Pace(window, self.aim / 4, START * self.mean))
         # Guards against a fleet whose boxes are ever replaced: the budget of each would start anew. And, by a
@@ -154,34 +157,25 @@
         return node
 
     def warmth(self, node: Node) -> float:
-        """Part of its capacity that a node has for sure, from one fall window behind; 1 once it is warm."""
-        age = (self.now - self.s.fall_window - node.young) / self.s.warm_up
-        return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * max(0.0, age))
+        """Part of its capacity that a node has for sure; 1 once it is warm."""
+        return slow_start.warmth(self.s, self.now - node.young)
 
     def bears(self, job: Job, node: Node) -> tuple[float, float]:
-        """Rule 4: the chance that a young node may be sent this, at all and just now; 1 for this host's part.
-
-        Few hosts have work for the node and none knows which: the chance keeps the work of all within what
-        it bears, the rule's multiple of the warm part of what its kind was seen to serve of what was asked.
-        Guards against holding new nodes to the least that any bears, which starves a fleet of them.
-        """
+        """Rule 4: the chance that a young node may be sent this, at all and just now."""
         warmth, like = self.warmth(node), self.kinds[node.entry.kind]
         if warmth >= 1:
             return 1.0, 1.0
-        safe = self.s.cold_units * warmth / self.s.cold_share
         sent = sum(u for at, u in node.sends if at >= self.now - self.s.fall_window)
-        if sent + job.ask.units <= safe / self.s.hosts:
+        if sent + job.ask.units <= slow_start.safe_units(self.s, warmth) / self.s.hosts:
             return 1.0, 1.0
         asked = len(self.taken) * self.mean / min(LOOKBACK, self.now - self.born + self.period)
         expected = asked * self.s.fall_window * self.s.hosts / len(self.ready[-1])
-        seen = self.s.tip_multiple * warmth * min(1.0, like.served / like.asked) if like.asked else 0.0
-        chance = min(1.0, LUCK * max(min(warmth, safe / expected), seen) * job.worth / self.usual)
-        # Less for the large, and soon after other sends or its listing; the warmer, the less chance decides.
-        fresh = 3 * max(0.0, 1 - (self.now - node.met) / self.s.fall_window)
-        size, cold = max(1.0, job.ask.units / self.mean), (1 - warmth) / (1 - self.s.cold_share)
-        return float(chance ** (cold * size)), float(chance ** (cold * (size + fresh + sent / self.mean)))
+        served = min(1.0, like.served / like.asked) if like.asked else 0.0
+        young = slow_start.Young(warmth, sent, self.now - node.met, expected, served)
+        return slow_start.chances(self.s, young, job.ask.units, job.worth / self.usual)
 
     def take(self, ask: api.Request) -> None:
+        """A request has come: what it is worth, by when, and whether its volume may ask now."""
         if ask.id in self.jobs:
             raise ValueError(f"request {ask.id} was given twice")
         kind, now = self.s.classes[ask.class_], self.now
@@ -216,10 +210,12 @@
         self.find_node(job)
 
     def find_node(self, job: Job) -> None:
+        """Have a node chosen for it at the end of this batch."""
         job.waits = True
         self.limbo.append(job)
 
     def refill(self, volume: Volume) -> None:
+        """Bring the stores of its reservation and its limit up to now."""
         plan, gone = volume.plan, (self.now - volume.at) / 1000 * volume.part
         volume.at = self.now
         most = plan.reservation * volume.part + self.s.most_units
@@ -300,6 +296,7 @@
         return True
 
     def admitted(self, node: Node) -> list[int]:
+        """The volumes with a session at this node."""
         return [v for v, t in node.sessions.items() if self.now - t < IDLE * self.period]
 
     def roll(self, node: Node) -> None:
@@ -379,6 +376,7 @@
         node.held = kept
 
     def send(self, job: Job, node: Node) -> None:
+        """Start an attempt there, and count it wherever attempts are counted."""
         now, units, number = self.now, job.ask.units, job.sent
         if number:
             self.extra.append(now)
@@ -421,6 +419,7 @@
             self.darken(node)
 
     def hear(self, node: Node) -> None:
+        """A sign of life: it may be sent work again."""
         node.heard, node.tries = self.now, 0
         if node.dark < inf:
             name = api.name_of(node.entry.node)
@@ -428,6 +427,7 @@
             node.dark = inf
 
     def darken(self, node: Node) -> None:
+        """No sign of life: it gets single trials only, and what may go elsewhere does."""
         if node.dark == inf:
             node.dark, node.tries, node.trial = self.now, 1, self.now + self.silence
             self.limbo += [j for j in node.held if j.ask.shard < 0]  # what may go anywhere moves
@@ -436,6 +436,7 @@
             self.out.append(api.Log(f"node {name} silent, {len(node.flying)} attempts out"))
 
     def answered(self, got: api.Attempted) -> None:
+        """An attempt has ended: what it tells of its node, and what becomes of its request."""
         job = self.jobs.get(got.id)
         if job is None or got.attempt not in job.out:
             return
@@ -476,6 +477,7 @@
         self.active[node] = None
 
     def weight(self, since: float) -> float:
+        """How much a new figure counts beside old ones, the last of which came then."""
         return max(SMOOTH, 1 - exp((since - self.now) / NEWS))
 
     def learn(self, node: Node, took: float, units: float) -> None:
@@ -504,6 +506,7 @@
         return may_repeat(job.kind, at, there, self.now, here)
 
     def may_try_again(self, job: Job, node: Node) -> bool:
+        """May it be sent once more, and would it be served in time?"""
         somewhere = job.ask.shard < 0 or self.may_repeat(job, node)
         return somewhere and job.sent < self.s.max_attempts and self.now + node.lat <= job.soon
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -225,9 +225,10 @@
 
 
 def test_the_module_stays_small_enough_to_read() -> None:
-    lines = (ROOT / "sabledyke" / "rules.py").read_text().splitlines()
-    assert sum(1 for line in lines if line.strip()) <= 500
-    assert max(map(len, lines)) <= 110
+    for path in (ROOT / "sabledyke" / "rules.py", *(ROOT / "sabledyke" / "policy").glob("*.py")):
+        lines = path.read_text().splitlines()
+        assert sum(1 for line in lines if line.strip()) <= 500
+        assert max(map(len, lines)) <= 110
 
 
 def test_a_refusal_is_given_at_once_and_says_when_to_come_back() -> None:
