Tell the module a client's time whole again; only what is under 60 ms counts as none

Cause, found by reading: Core.submit told the module 60 ms less for every request, and rules.take counts a client's later try from its class's whole deadline: retries lost 60 ms of their aim. Change: the time is told whole; a request with no more than the 60 ms is told to have none, and is refused unsent as before (test_attempt_recheck).

--- a/sabledyke/core.py
+++ b/sabledyke/core.py
@@ -175,10 +175,11 @@
         rid = self._ids
         deadline = min(now + work.remaining, self._until)
         kind = self.settings.classes[work.class_]
+        usable = work.remaining if work.remaining > CUT else 0.0  # else no attempt could end in time
         self._open[rid] = _Open(work, kind, deadline, done, ran=work.ran)
         heapq.heappush(self._timers, (now + work.remaining - GUARD, -1, rid))
         self._event(api.Request(
-            rid, work.class_, work.plan, work.key, max(0.0, work.remaining - CUT), work.volume, work.units,
+            rid, work.class_, work.plan, work.key, usable, work.volume, work.units,
             work.shard, work.hosts, work.repeated, work.write, work.ran, work.part,
         ))  # fmt: skip
         return rid
