--- a/tests/net/test_requests.py
+++ b/tests/net/test_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -138,3 +139,20 @@
         rig.server.assembly.response_memory.used_bytes = 0
 
     play(scenario)
+
+
+def test_one_request_with_a_long_deadline_takes_nothing_from_others() -> None:
+    """Guards against what one client states of its time counting for the requests of all others."""
+
+    async def scenario(rig: Rig) -> None:
+        read, write = rig.config.settings.classes
+        classes = (replace(read, latency_objective_ms=300, deadline_ms=5000), write)
+        rig.config = replace(rig.config, settings=replace(rig.config.settings, classes=classes))
+        rig.server.reload()
+        shorter = GET.replace("Deadline: 1.0", "Deadline: 0.9")
+        longer = GET.replace("Deadline: 1.0", "Deadline: 60")
+        assert (await ask(rig.port, longer.format(1, "long", INFO)))[0] == 200
+        statuses = [(await ask(rig.port, shorter.format(1, f"short-{i}", INFO)))[0] for i in range(20)]
+        assert statuses == [200] * 20
+
+    play(scenario)
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+import pytest
+
 from sabledyke.policy.actions import Log, Reject
 from sabledyke.policy.settings import Plan
 from tests.support.nodes import node_entry
@@ -72,6 +76,34 @@
             rig.advance(0)
         for rig in rigs:
             rig.advance(step_ms)
+    total_s = 2 * steps_per_phase * step_ms / 1000
+    assert units_within_limit(rigs, units) >= 0.8 * CAPPED.limit * total_s  # and the limit is made use of
+
+
+@pytest.mark.parametrize("saved_ms", [0, 1000, 4000])
+def test_an_old_and_a_new_process_of_one_scheduler_keep_a_limit_together(saved_ms: float) -> None:
+    """Guards against two processes that each spend the whole share while one replaces the other."""
+    step_ms = 20
+    units = 2.0
+    old = SchedulerRig(node_entry(1))
+    old.submit(plan_index=CAPPED_PLAN, units=units)
+    old.advance(saved_ms)
+    new = SchedulerRig(node_entry(1))
+    new.now_ms = old.now_ms
+    new.advance(0)
+    old.scheduler.shut_down_by(old.now_ms + 3600)
+    for step in range(500):
+        for rig in (old, new) if step < 180 else (new,):
+            rig.submit(plan_index=CAPPED_PLAN, units=units)
+            for sent in rig.sent[-2:]:
+                rig.complete(sent.request_id, elapsed_ms=5)
+            rig.advance(step_ms)
+    served = units_within_limit((old, new), units)
+    assert served >= 0.8 * CAPPED.limit * (new.now_ms - START_MS) / 1000  # and the limit is made use of
+
+
+def units_within_limit(rigs: Sequence[SchedulerRig], units: float) -> float:
+    """Check that what these schedulers sent together kept to the limit; return how many units it was."""
     sent_at_ms = sorted(sent.at_ms for rig in rigs for sent in rig.sent)
     tokens = 0.0
     previous_ms = START_MS
@@ -80,8 +112,7 @@
         tokens = min(CAPPED.limit_burst, refilled) - units
         previous_ms = at_ms
         assert tokens >= -CAPPED.limit_slack, at_ms
-    total_s = 2 * steps_per_phase * step_ms / 1000
-    assert units * len(sent_at_ms) >= 0.8 * CAPPED.limit * total_s  # and the limit is made use of
+    return units * len(sent_at_ms)
 
 
 def test_in_its_first_second_a_scheduler_reserves_its_share_and_logs_when_the_scheduler_count_grows() -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -288,3 +288,13 @@
     stream = Slow(sent)
     assert read_frame(stream) == sent
     assert read_frame(stream) is None
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf"])
+def test_a_shard_that_is_no_number_is_rejected_as_a_bad_frame(value: str) -> None:
+    """Guards against a traceback where the program is to end with one line and status 2."""
+    record = struct.pack(">BIHHQdQfffB", 18, 1, 0, 0, 1, 100.0, 1, 1.0, float(value), 1.0, 0)
+    named = struct.pack(">BI", 17, 0)
+    frame = struct.pack(">IdI", 16 + len(named) + len(record), 0.0, 2) + named + record
+    with pytest.raises(wire.WireError, match="shard"):
+        wire.Decoder().decode(frame)
