Count a request's time from its arrival, whatever deadlines other clients state

What callers saw: after one request with a long Req-Deadline every request of its class with a shorter one was answered 503 until the process ended (20 of 20 in the test, 120 of 120 in the issue's measurement). Cause: Demand kept the longest remaining time ever stated for a class and took any shorter one for a client's retry, whose full value it thought over; the dispatcher then rejected it as too late. The guess is gone. What the protocol marks as a retry (Req-Retry, where the settings say that clients mark them) and has missed its class's objective is priced at the late value: it yields to others and is rejected by nothing.

The pinned values of settings have one more, clients.marks_retry.

--- a/sabledyke/policy/demand.py
+++ b/sabledyke/policy/demand.py
@@ -1,14 +1,10 @@
-"""What clients request through this scheduler: arrivals, the usual value, and how long clients wait."""
+"""What clients request through this scheduler: arrivals and the usual value."""
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import deque
 
 from sabledyke.policy.context import LOOKBACK_MS, Context
-from sabledyke.policy.events import Request
-
-# Difference in waiting time by which a client's later try is told from its first.
-FIRST_TRY_TOLERANCE_MS = 1
 
 
 class Demand:
@@ -18,26 +14,16 @@
         self._context = context
         self.arrivals = deque[float]()
         self.usual_value = 0.0
-        self.longest_remaining_ms: defaultdict[int, float] = defaultdict(float)
 
-    def on_arrival(self, request: Request) -> None:
+    def on_arrival(self) -> None:
         """Counts a request."""
         self.arrivals.append(self._context.now_ms)
         forget_before(self.arrivals, retained_since_ms(self._context))
-        longest = max(self.longest_remaining_ms[request.class_index], request.remaining_ms)
-        self.longest_remaining_ms[request.class_index] = longest
 
     def on_value(self, value: float) -> None:
         """Updates the usual value of a request, which was counted before."""
         self.usual_value += (value - self.usual_value) / len(self.arrivals)
 
-    def waited_ms(self, request: Request, deadline_ms: float) -> float:
-        """Returns how long the client has waited already: 0 for its first try."""
-        longest = self.longest_remaining_ms[request.class_index]
-        if request.remaining_ms < longest - FIRST_TRY_TOLERANCE_MS:
-            return deadline_ms - request.remaining_ms
-        return 0.0
-
     def units_per_ms(self) -> float:
         """Returns the rate of requested units through this scheduler."""
         context = self._context
--- a/sabledyke/policy/scheduler.py
+++ b/sabledyke/policy/scheduler.py
@@ -34,12 +34,14 @@
 from sabledyke.policy.requests import RequestTable
 from sabledyke.policy.retry import RetryPolicy
 from sabledyke.policy.selection import NodeSelector
-from sabledyke.policy.settings import Settings
+from sabledyke.policy.settings import RequestClass, Settings
 from sabledyke.policy.slow_start import SlowStart
 from sabledyke.policy.state import NodeRecord, PendingRequest
 
 # Fraction of the allowed open requests above which queued requests of the least value are rejected.
 CROWDED_FRACTION = 0.7
+# Value factor that a retry keeps where a late answer earns nothing, so that an idle node serves it.
+MIN_RETRY_VALUE_FACTOR = 0.05
 # Interval between searches for records that can be forgotten, and how long these must have been idle.
 EVICTION_INTERVAL_MS = 10_000.0
 # Timer tokens.
@@ -168,7 +170,7 @@
         """Registers a request; rejects it where its volume's limit would let it go too late."""
         if request.id in self.requests.requests:
             raise ValueError(f"request {request.id} was given twice")
-        self.demand.on_arrival(request)
+        self.demand.on_arrival()
         self.retries.forget_old()
         pending = self._register(request)
         wait_ms = self.quotas.wait_for_limit_ms(pending)
@@ -181,7 +183,6 @@
         context = self.context
         request_class = context.settings.classes[request.class_index]
         objective_ms = request_class.latency_objective_ms
-        waited_ms = self.demand.waited_ms(request, request_class.deadline_ms)
         volume = self.quotas.volume_of(request)
         reserved = self.quotas.reserve(volume, request.units)
         due_ms = min(context.now_ms + min(objective_ms, request.remaining_ms), context.shutdown_at_ms)
@@ -190,17 +191,29 @@
             request_class,
             volume,
             due_ms=due_ms,
-            full_value_until_ms=min(due_ms, context.now_ms - waited_ms + objective_ms),
+            full_value_until_ms=due_ms,
             reserved=reserved,
             admission_draw=context.random.random(),
             possible_execution=request.possible_execution,
         )
         share = 1.0 if reserved else context.settings.share_value
         pending.value = share * request_class.value * volume.plan.value_factor
+        if self._missed_objective(request, request_class):
+            pending.value *= max(request_class.late_value, MIN_RETRY_VALUE_FACTOR)
         self.demand.on_value(pending.value)
         self.requests.add(pending)
         return pending
 
+    def _missed_objective(self, request: Request, request_class: RequestClass) -> bool:
+        """Whether it is a client's retry that can earn no more than the value of a late answer.
+
+        A retry is what its client marked as one; its wait so far is bounded by the class's deadline. This
+        lowers its value, and never rejects it: it may be served by a node that has nothing better to do.
+        """
+        if not (request.repeated and self.context.settings.clients_mark_retries):
+            return False
+        return request_class.deadline_ms - request.remaining_ms >= request_class.latency_objective_ms
+
     def _shed_lowest_value(self) -> None:
         """Rejects queued requests of the least value while nearly all places for open requests are taken.
 
--- a/sabledyke/policy/settings.py
+++ b/sabledyke/policy/settings.py
@@ -85,6 +85,7 @@
         connect_timeout_ms: A connection that is not up by then has failed.
         overload_multiple: A warming node overloads at this multiple of its capacity; 0 if not stated.
         idle_timeout_ms: Nodes close connections that are idle for this long.
+        clients_mark_retries: Clients say of a request that it is a retry.
         retired_classes: Classes that accept no more requests but keep their positions for open ones.
 
     Raises:
@@ -126,6 +127,7 @@
     overload_multiple: float = 0.0
     idle_timeout_ms: float = 15_000.0
     retired_classes: frozenset[str] = frozenset()
+    clients_mark_retries: bool = False
 
     def __post_init__(self) -> None:
         for name, value in self._positive_values():
--- a/sabledyke/settings.py
+++ b/sabledyke/settings.py
@@ -118,6 +118,7 @@
             max_open_requests=self._number("ceilings.open_cap", inf),
             connect_timeout_ms=self._number("ceilings.connect_timeout", DEFAULT_CONNECT_TIMEOUT_MS),
             idle_timeout_ms=self._number("ceilings.conn_idle", DEFAULT_IDLE_TIMEOUT_MS),
+            clients_mark_retries=self._flag("clients.marks_retry", default=False),
         )
 
     def _request_classes(self) -> tuple[RequestClass, ...]:
