Let an idle node be tried whatever its answer time was, and forget a kind's old one

What callers saw: five or six slow answers to a class with a long objective (1.4 s), then rest; from then on 0 of 1000 requests of a class with an objective of 0.2 s were sent to the idle node in 500 s. Cause: the node's and its kind's answer time stood at 0.9 s, half of which is past the objective, so that every request was rejected as too late, and only an answer corrects the estimate. Requests of a low value were besides held back by a spacing that grows without bound with the answer time.

--- a/sabledyke/policy/concurrency.py
+++ b/sabledyke/policy/concurrency.py
@@ -30,6 +30,8 @@
 # Smallest weight of a new figure in a smoothed one, and how fast that weight grows while there are none.
 SMOOTHING = 0.15
 FRESHNESS_MS = 4000.0
+# Longest interval between single sends to an idle node, whatever its answer time was and their value is.
+MAX_SPACING_MS = 4000.0
 # Half-life of a node's own statistics, and of one that has never answered.
 HALF_LIFE_MS = 10_000.0
 UNHEARD_HALF_LIFE_MS = 1000.0
@@ -79,7 +81,9 @@
         node.latency_ms += weight * (max(1.0, elapsed_ms) - node.latency_ms)
         self._adjust_window(node, elapsed_ms, units)
         kind = self._directory.kind_of(node)
-        kind.latency_ms += SMOOTHING * (elapsed_ms - kind.latency_ms)
+        kind_weight = smoothing_weight(self._context, kind.latency_updated_ms)
+        kind.latency_updated_ms = self._context.now_ms
+        kind.latency_ms += kind_weight * (elapsed_ms - kind.latency_ms)
         kind.window_units += SMOOTHING * (node.window_units - kind.window_units)
 
     def close_period(self, node: NodeRecord) -> None:
@@ -116,8 +120,10 @@
         """Whether the last send is long enough ago, where the limit is below one request."""
         if not node.recent_sends:
             return True
-        spacing_ms = node.latency_ms * self._context.mean_units / limit_units
-        return self._context.now_ms - node.recent_sends[-1][0] >= spacing_ms
+        elapsed_ms = self._context.now_ms - node.recent_sends[-1][0]
+        if elapsed_ms >= MAX_SPACING_MS:
+            return True
+        return elapsed_ms * limit_units >= node.latency_ms * self._context.mean_units
 
     def _adjust_window(self, node: NodeRecord, elapsed_ms: float, units: float) -> None:
         context = self._context
--- a/sabledyke/policy/dispatch.py
+++ b/sabledyke/policy/dispatch.py
@@ -104,7 +104,7 @@
     def _judge(self, pending: PendingRequest, node: NodeRecord, queue: DispatchQueue) -> DispatchVerdict:
         permitted = pending.value > queue.blocked_value and self._is_permitted(pending, node)
         chances = self._slow_start.chances(pending, node)
-        if self._context.now_ms + node.latency_ms / 2 > pending.full_value_until_ms:
+        if self._context.now_ms + self._least_latency_ms(node) > pending.full_value_until_ms:
             return DispatchVerdict.REJECT_TOO_LATE
         if chances.eventually <= pending.admission_draw and not pending.attempts_started:
             return DispatchVerdict.REJECT_SLOW_START
@@ -114,6 +114,17 @@
             return DispatchVerdict.SEND
         return DispatchVerdict.WAIT_FOR_CAPACITY
 
+    def _least_latency_ms(self, node: NodeRecord) -> float:
+        """Returns how soon an answer may come at the earliest.
+
+        An idle node is taken for no slower than one that is not known yet: guards against an estimate that
+        keeps requests away for good, as only an answer corrects it.
+        """
+        latency_ms = node.latency_ms
+        if not node.in_flight:
+            latency_ms = min(latency_ms, self._directory.initial_latency_ms)
+        return latency_ms / 2
+
     def _is_permitted(self, pending: PendingRequest, node: NodeRecord) -> bool:
         """Whether the request may be sent at all now, by the rules on repeats, limits and order."""
         if pending.attempts_started:
--- a/sabledyke/policy/node_directory.py
+++ b/sabledyke/policy/node_directory.py
@@ -42,6 +42,11 @@
         """How many nodes are ready."""
         return len(self._ready[ANY_SHARD])
 
+    @property
+    def initial_latency_ms(self) -> float:
+        """The answer time of a node of which nothing is known."""
+        return self._context.shortest_objective_ms * INITIAL_LATENCY_OBJECTIVES
+
     def ready(self, shard: int) -> list[NodeRecord]:
         """Returns the ready nodes of a shard, or all of them for ``ANY_SHARD``."""
         return self._ready.get(shard, [])
@@ -121,8 +126,9 @@
         window_requests = INITIAL_WINDOW_REQUESTS / context.settings.scheduler_count
         initial = KindStatistics(
             max(MIN_INITIAL_WINDOW_REQUESTS, window_requests) * mean_units,
-            context.shortest_objective_ms * INITIAL_LATENCY_OBJECTIVES,
+            self.initial_latency_ms,
             INITIAL_BUDGET_REQUESTS * mean_units,
+            latency_updated_ms=context.now_ms,
         )
         kind = self.kinds.setdefault(entry.kind, initial)
         spread = 1 + INITIAL_LATENCY_SPREAD * (context.random.random() - 0.5)
--- a/sabledyke/policy/state.py
+++ b/sabledyke/policy/state.py
@@ -68,6 +68,7 @@
     window_units: float
     latency_ms: float
     budget_units: float
+    latency_updated_ms: float
     requested_units: float = 0.0  # from warm nodes, over their recent periods
     served_units: float = 0.0  # of those, within the latency objective
 
--- a/tests/policy/test_latency_estimates.py
+++ b/tests/policy/test_latency_estimates.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
+
 from sabledyke.policy.events import Outcome, TimerFired
 from tests.support.nodes import node_entry
 from tests.support.scheduler_rig import SchedulerRig, attempt_completed
+from tests.support.settings import READ, WRITE
 
 SCHEDULER_COUNT = 40
 
@@ -40,3 +45,23 @@
     rig.submit(shard=2)
     # 2 s have passed; a measured estimate gives way by half in 10 s.
     assert unknown.latency_ms - kind.latency_ms < difference_before_ms / 3
+
+
+@pytest.mark.parametrize("value", [3.0, 0.5])
+def test_slow_answers_of_one_class_do_not_keep_another_from_an_idle_node_for_good(value: float) -> None:
+    """Guards against an estimate that rejects what alone could correct it."""
+    slow = replace(WRITE, latency_objective_ms=1500, deadline_ms=5000, value=3, writes=False)
+    rig = SchedulerRig(classes=(replace(READ, value=value), slow))
+    slow_requests = [rig.submit(class_index=1) for _ in range(5)]
+    rig.advance(1400)
+    for request_id in slow_requests:
+        rig.complete(request_id, elapsed_ms=1400)
+    rig.advance(10_000)
+    requests = []
+    for _ in range(20):
+        requests.append(rig.submit())
+        if rig.was_sent(requests[-1]):
+            rig.advance(10)
+            rig.complete(requests[-1], elapsed_ms=10)
+        rig.advance(500)
+    assert all(rig.was_sent(request_id) for request_id in requests)
