Leave the limits to the successor at SIGTERM, so that two processes spend one share

Cause, from the spends of each process, second by second: the old process served open connections for up to 3.6 s after SIGTERM while its buckets and its successor's both filled at the whole rate of the scheduler's share; ruled out: other schedulers (none sent for the volume) and changes of hosts (its share was 1 throughout).

From SIGTERM on the old process's buckets gain nothing, and the most that they may hold shrinks by what the successor's gain, so that both together never hold more than the burst.

--- a/sabledyke/application/core_driver.py
+++ b/sabledyke/application/core_driver.py
@@ -46,8 +46,11 @@
             answer_by_s: When the last answer has to be given.
             available_again_at_s: When rejected clients may expect a server at this address again.
         """
-        offset_ms = clock.now() - self._loop.time() * 1000
-        self.core.shut_down_by(answer_by_s * 1000 + offset_ms, available_again_at_s * 1000 + offset_ms)
+        now_ms = clock.now()
+        offset_ms = now_ms - self._loop.time() * 1000
+        self.core.shut_down_by(
+            now_ms, answer_by_s * 1000 + offset_ms, available_again_at_s * 1000 + offset_ms
+        )
         self.wake()
 
     def wake(self) -> None:
--- a/sabledyke/core/core.py
+++ b/sabledyke/core/core.py
@@ -111,19 +111,20 @@
         self.settings = settings
         self.scheduler.apply_settings(settings)
 
-    def shut_down_by(self, answer_by_ms: float, available_again_at_ms: float) -> None:
+    def shut_down_by(self, now_ms: float, answer_by_ms: float, available_again_at_ms: float) -> None:
         """Have every request answered by a time, as the program ends then.
 
         Guards against an end that cuts off accepted requests: what is unanswered then is rejected where it
         has certainly not run or may be repeated, and else failed.
 
         Args:
+            now_ms: The time.
             answer_by_ms: When the last answer is given.
             available_again_at_ms: When rejected clients may expect a server here again.
         """
         self._answer_all_by_ms = min(self._answer_all_by_ms, answer_by_ms)
         self._available_again_at_ms = available_again_at_ms
-        self.scheduler.shut_down_by(self._answer_all_by_ms)
+        self.scheduler.shut_down_by(now_ms, self._answer_all_by_ms)
         for request in self._requests.values():
             request.deadline_ms = min(request.deadline_ms, self._answer_all_by_ms)
         self._timers.add_shutdown_poll(self._answer_all_by_ms)
--- a/sabledyke/policy/quota.py
+++ b/sabledyke/policy/quota.py
@@ -22,6 +22,15 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self.volumes: dict[tuple[int, int], VolumeState] = {}
+        self._handed_over_at_ms = inf
+
+    def hand_over(self, now_ms: float) -> None:
+        """Leaves the limits to the process that replaces this one; a later call changes nothing.
+
+        The successor may run already, and its buckets fill from its start on: what they gain is taken from
+        what this process may still spend, so that both together stay within each limit.
+        """
+        self._handed_over_at_ms = min(self._handed_over_at_ms, now_ms)
 
     def apply_settings(self, old: Settings, new: Settings) -> None:
         """Gives each volume its plan's new terms; plans keep their positions."""
@@ -72,19 +81,28 @@
         self.refill(volume)
         if plan.limit <= 0 or pending.attempts_started or volume.limit_tokens >= units:
             return 0.0
-        if units > plan.limit_burst * volume.quota_share:
+        if units > plan.limit_burst * volume.quota_share or self._handed_over_at_ms < inf:
             return inf
         return (units - volume.limit_tokens) / (plan.limit * volume.quota_share) * MS_PER_SECOND
 
     def refill(self, volume: VolumeState) -> None:
         """Brings both buckets up to the present."""
         plan = volume.plan
-        elapsed = (self._context.now_ms - volume.refilled_ms) / MS_PER_SECOND * volume.quota_share
-        volume.refilled_ms = self._context.now_ms
+        now_ms = self._context.now_ms
+        elapsed = (now_ms - volume.refilled_ms) / MS_PER_SECOND * volume.quota_share
         reserved = volume.reserved_tokens + plan.reservation * elapsed
         volume.reserved_tokens = min(reserved, self._reservation_capacity(volume))
-        limit = volume.limit_tokens + plan.limit * elapsed
-        volume.limit_tokens = min(limit, plan.limit_burst * volume.quota_share)
+        self._refill_limit(volume)
+        volume.refilled_ms = now_ms
+
+    def _refill_limit(self, volume: VolumeState) -> None:
+        plan = volume.plan
+        now_ms = self._context.now_ms
+        filled_until_ms = min(now_ms, self._handed_over_at_ms)
+        elapsed = max(0.0, filled_until_ms - volume.refilled_ms) / MS_PER_SECOND * volume.quota_share
+        successor_elapsed = (now_ms - filled_until_ms) / MS_PER_SECOND * volume.quota_share
+        capacity = plan.limit_burst * volume.quota_share - plan.limit * successor_elapsed
+        volume.limit_tokens = max(0.0, min(volume.limit_tokens + plan.limit * elapsed, capacity))
 
     def evict_full(self, idle_since_ms: float) -> None:
         """Forgets idle volumes whose buckets are full: a new record would equal theirs."""
--- a/sabledyke/policy/scheduler.py
+++ b/sabledyke/policy/scheduler.py
@@ -100,8 +100,12 @@
         self.discovery = DiscoverySchedule(settings.scheduler_count)
         self.directory.renumber_periods()
 
-    def shut_down_by(self, when_ms: float) -> None:
-        """Ends the scheduler by then: what would be due later is due by then."""
+    def shut_down_by(self, now_ms: float, when_ms: float) -> None:
+        """Ends the scheduler by then: what would be due later is due by then.
+
+        Limits are left to the process that replaces it.
+        """
+        self.quotas.hand_over(now_ms)
         self.context.shutdown_at_ms = min(self.context.shutdown_at_ms, when_ms)
         self.requests.shut_down_by(self.context.shutdown_at_ms)
 
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -91,7 +91,7 @@
     new = SchedulerRig(node_entry(1))
     new.now_ms = old.now_ms
     new.advance(0)
-    old.scheduler.shut_down_by(old.now_ms + 3600)
+    old.scheduler.shut_down_by(old.now_ms, old.now_ms + 3600)
     for step in range(500):
         for rig in (old, new) if step < 180 else (new,):
             rig.submit(plan_index=CAPPED_PLAN, units=units)
--- a/tests/shutdown/test_graceful_shutdown.py
+++ b/tests/shutdown/test_graceful_shutdown.py
@@ -76,7 +76,7 @@
     bench.submit(**changes)
     assert bool(bench.started) is sends
     bench.core.scheduler.handle = no_actions  # type: ignore[method-assign, assignment]
-    bench.core.shut_down_by(bench.now_ms + 100, bench.now_ms + 1e6)
+    bench.core.shut_down_by(bench.now_ms, bench.now_ms + 100, bench.now_ms + 1e6)
     bench.advance(99)
     assert not bench.answers
     bench.advance(1)
@@ -95,7 +95,7 @@
         rig.complete(rig.submit(), elapsed_ms=100)
         rig.advance(100)
     submitted = [rig.submit() for _ in range(40)]
-    rig.scheduler.shut_down_by(rig.now_ms + 150)
+    rig.scheduler.shut_down_by(rig.now_ms, rig.now_ms + 150)
     rig.advance(20)
     early = [r for r in submitted if rig.answers(r)]
     rig.advance(90)
