Record with each act what its holder knew of its lease, and check that no two leases overlap

A leader task's call now says when it was sent, how long ago its lease was confirmed and for how long it holds; the testbed's resource keeps these with each act (acts.jsonl beside the timeline), and the evaluation counts acts that were sent while an earlier holder could still act (lease_overlap_count), whatever took how long. The cluster's tests want none of them, beside the checks that they had.

--- a/sabledyke/lease/leader_tasks.py
+++ b/sabledyke/lease/leader_tasks.py
@@ -20,7 +20,7 @@
 from sabledyke.errors import AuthorityError, FencedError, LeaseLostError
 from sabledyke.lease import fencing
 from sabledyke.lease.http_calls import post
-from sabledyke.lease.manager import LeaseManager
+from sabledyke.lease.manager import HeldLease, LeaseManager
 from sabledyke.lease.section import LeaderTask
 from sabledyke.lease.types import Authority
 from sabledyke.store import maintenance
@@ -44,6 +44,9 @@
     def current_token(self) -> int:
         """See ``LeaseManager.current_token``."""
 
+    def current_lease(self) -> HeldLease:
+        """See ``LeaseManager.current_lease``."""
+
 
 Action = Callable[[TokenSource], Awaitable[None]]
 RecordCheck = Callable[[Target, maintenance.Report], Awaitable[bool]]
@@ -161,13 +164,19 @@
 async def _call_service(task: LeaderTask, manager: TokenSource) -> None:
     """Send one POST request, whose headers name the task, the holder and the token.
 
-    The service answers 409 where it has seen a later token.
+    They also say when the request was sent, by the machine's monotonic clock, how long ago the lease was
+    confirmed and for how long its holder may still act, all in milliseconds. The service answers 409 where it
+    has seen a later token.
     """
-    token = manager.current_token()
+    lease = manager.current_lease()
+    token = lease.token
     headers = {
         "Lease-Duty": task.name,
         "Lease-Token": str(token),
         "Lease-Holder": manager.holder_id,
+        "Lease-Sent-Ms": f"{time.monotonic() * 1000:.3f}",
+        "Lease-Confirmed-Ms": f"{lease.confirmed_for_ms:.3f}",
+        "Lease-Remaining-Ms": f"{lease.remaining_ms:.3f}",
     }
     url = f"http://{task.endpoint.host}:{task.endpoint.port}{task.endpoint.path}"
     try:
--- a/sabledyke/lease/manager.py
+++ b/sabledyke/lease/manager.py
@@ -10,7 +10,7 @@
 import contextlib
 import time
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 
 from sabledyke import log
@@ -35,6 +35,21 @@
     return lambda: boottime_ms() * rate + offset_ms
 
 
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """A lease that is held.
+
+    Attributes:
+        token: Its fencing token.
+        confirmed_for_ms: How long ago its latest confirmation by the authority was requested.
+        remaining_ms: For how long its holder may still act.
+    """
+
+    token: int
+    confirmed_for_ms: float
+    remaining_ms: float
+
+
 class LeaseManager:
     """One instance's hold on one lease.
 
@@ -71,11 +86,21 @@
         """Return the token to act under. To be called before every step.
 
         Raises:
-            Lost: This instance may not act now.
+            LeaseLostError: This instance may not act now.
+        """
+        return self.current_lease().token
+
+    def current_lease(self) -> HeldLease:
+        """Return what is known of the lease, to act under it now. To be called before every step.
+
+        Raises:
+            LeaseLostError: This instance may not act now.
         """
-        if not holder.may_act(self.state, self._clock()):
+        now_ms = self._clock()
+        if not holder.may_act(self.state, now_ms):
             raise LeaseLostError(f"the lease {self.task_name} is not held")
-        return self.state.token
+        remaining_ms = self.state.acts_until_ms - now_ms
+        return HeldLease(self.state.token, self.times.acting_window_ms - remaining_ms, remaining_ms)
 
     def recheck(self) -> None:
         """Have the clock checked now, and ``leading`` updated: a step found that it may not act."""
--- a/sabledyke/testbed/fenced_resource.py
+++ b/sabledyke/testbed/fenced_resource.py
@@ -1,7 +1,8 @@
 """A resource that a leader task acts on, and the check of its record of acts.
 
-Every act comes with its holder and token, takes a while, and is recorded with start and end on the resource's
-own clock. Without fencing the resource accepts every act, which shows that the check finds what it is for.
+Every act comes with its holder and token and with what the holder knew of its lease when it sent it. It takes
+a while, and is recorded with start and end on the machine's monotonic clock, which the holder's times are on
+too. Without fencing the resource accepts every act, which shows that the check finds what it is for.
 """
 
 from __future__ import annotations
@@ -18,16 +19,22 @@
 TASK_HEADER = "lease-duty"
 HOLDER_HEADER = "lease-holder"
 TOKEN_HEADER = "lease-token"
+SENT_HEADER = "lease-sent-ms"
+CONFIRMED_HEADER = "lease-confirmed-ms"
+REMAINING_HEADER = "lease-remaining-ms"
 
 
 @dataclass(slots=True, frozen=True)
 class Act:
-    """One act that was accepted; times are on the resource's clock.
+    """One act that was accepted; times are on the machine's monotonic clock.
 
     Attributes:
         task: The leader task.
         holder: Who held its lease.
         token: The lease's fencing token.
+        confirmed_ms: When the holder requested the latest confirmation of its lease.
+        sent_ms: When it sent the act.
+        held_until_ms: Until when it could act, as far as it knew then.
         start_ms: When the act began.
         end_ms: When it was done.
     """
@@ -35,6 +42,9 @@
     task: str
     holder: str
     token: int
+    confirmed_ms: float
+    sent_ms: float
+    held_until_ms: float
     start_ms: float
     end_ms: float
 
@@ -67,12 +77,15 @@
         task = headers[TASK_HEADER]
         holder = headers[HOLDER_HEADER]
         token = int(headers[TOKEN_HEADER])
+        sent_ms = float(headers[SENT_HEADER])
+        confirmed_ms = sent_ms - float(headers[CONFIRMED_HEADER])
+        held_until_ms = sent_ms + float(headers[REMAINING_HEADER])
         start_ms = _now_ms()
         if not self.fence.accepts(task, token) and self._fenced:
             return HTTPStatus.CONFLICT, b""
         self.last_holder = holder
         await asyncio.sleep(self._act_duration_s)
-        self.acts.append(Act(task, holder, token, start_ms, _now_ms()))
+        self.acts.append(Act(task, holder, token, confirmed_ms, sent_ms, held_until_ms, start_ms, _now_ms()))
         return HTTPStatus.OK, b""
 
 
@@ -84,6 +97,7 @@
         act_count: Acts that were accepted.
         holder_count: Holders that acted.
         overlap_count: Pairs of acts by two holders at once.
+        lease_overlap_count: Acts that were sent while an earlier holder could still act, as far as it knew.
         stale_count: Acts accepted under an older token than one before them.
         longest_gap_ms: The longest time between the end of an act and the start of the next.
     """
@@ -91,6 +105,7 @@
     act_count: int
     holder_count: int
     overlap_count: int
+    lease_overlap_count: int
     stale_count: int
     longest_gap_ms: float
 
@@ -102,6 +117,7 @@
         act_count=len(ordered),
         holder_count=len({act.holder for act in ordered}),
         overlap_count=sum(_overlaps(act, ordered[i + 1 :]) for i, act in enumerate(ordered)),
+        lease_overlap_count=_lease_overlap_count(acts),
         stale_count=_stale_count(ordered),
         longest_gap_ms=_longest_gap_ms(ordered),
     )
@@ -117,6 +133,15 @@
     return overlaps
 
 
+def _lease_overlap_count(acts: Sequence[Act]) -> int:
+    """Return how many acts were sent before an earlier token's holder had to stop, whatever took how long."""
+    overlaps = 0
+    for act in acts:
+        earlier = (other for other in acts if other.token < act.token)
+        overlaps += any(act.sent_ms < other.held_until_ms for other in earlier)
+    return overlaps
+
+
 def _stale_count(ordered: Sequence[Act]) -> int:
     highest_token = 0
     stale = 0
--- a/sabledyke/testbed/lease_run.py
+++ b/sabledyke/testbed/lease_run.py
@@ -51,7 +51,8 @@
         gaps = ", ".join(f"{gap:.0f} ms" for gap in self.takeover_gaps_ms) or "none"
         return [
             f"{evaluation.act_count} acts by {evaluation.holder_count} holders; "
-            f"{evaluation.overlap_count} overlapped, {evaluation.stale_count} out of turn",
+            f"{evaluation.overlap_count} overlapped, {evaluation.stale_count} out of turn, "
+            f"{evaluation.lease_overlap_count} sent under two leases at once",
             f"{self.rejected} refused by their token; longest time without an act {longest_gap_ms:.0f} ms",
             f"to another holder after each fault: {gaps}",
         ]
@@ -78,7 +79,7 @@
         )
 
     async def play(self) -> Report:
-        """Start everything, inject the faults, stop everything, and write the timeline to the folder."""
+        """Start everything, inject the faults, stop everything, and write timeline and acts to the folder."""
         await self.resource.open()
         if self._etcd is not None:
             await self._etcd.open()
@@ -97,6 +98,8 @@
         )
         lines = b"".join(orjson.dumps(line) + b"\n" for line in report.timeline)
         (self._folder / "timeline.jsonl").write_bytes(lines)
+        acts = b"".join(orjson.dumps(act) + b"\n" for act in self.resource.acts)
+        (self._folder / "acts.jsonl").write_bytes(acts)
         return report
 
     async def _start_instances(self) -> None:
--- a/tests/lease/test_cluster.py
+++ b/tests/lease/test_cluster.py
@@ -91,6 +91,7 @@
     report = reports[backend, name, seed]
     evaluation = report.evaluation
     assert evaluation.act_count > 10
+    assert evaluation.lease_overlap_count == 0
     assert evaluation.overlap_count == 0
     assert evaluation.stale_count == 0
     if ALL[backend, name].changes:
--- a/tests/lease/test_leader_tasks.py
+++ b/tests/lease/test_leader_tasks.py
@@ -10,6 +10,7 @@
 from sabledyke.errors import FencedError
 from sabledyke.lease import leader_tasks
 from sabledyke.lease.fencing import Fence
+from sabledyke.lease.manager import HeldLease
 from sabledyke.lease.section import LeaderTask
 from sabledyke.store import maintenance, startup
 from sabledyke.store.connect import connect
@@ -28,6 +29,9 @@
     def current_token(self) -> int:
         return self._token
 
+    def current_lease(self) -> HeldLease:
+        return HeldLease(self._token, confirmed_for_ms=0.0, remaining_ms=1000.0)
+
 
 def test_a_fence_accepts_no_older_token_and_stays_bounded() -> None:
     fence = Fence(max_tasks=2)
