Name the place of a wrong value in any row of a table, in one line

What operators saw: a wrong type in the second or a later row of an array ended check-config and the start with a TypeError's traceback. Cause: toml_tables took the element type of tuple[X, ...] by position, and the second position is an Ellipsis. Each container now says the type of an element by its kind.

--- a/sabledyke/toml_tables.py
+++ b/sabledyke/toml_tables.py
@@ -154,7 +154,7 @@
     for step in steps:
         if step == ANY_ELEMENT:
             location = _first_invalid_element(location)
-        elif step.isdigit():
+        elif step.isdigit() and isinstance(location.value, list):
             location = _element(location, int(step))
         else:
             location = _field(location, step)
@@ -163,20 +163,28 @@
 
 def _first_invalid_element(container: _Location) -> _Location:
     """Return the first element that msgspec rejects: it rejects the container for that one."""
-    element_types = get_args(container.kind)
-    kind = element_types[1] if get_origin(container.kind) is dict else element_types[0]
     values = container.value
-    elements = values.items() if isinstance(values, dict) else enumerate(values)
-    key, value = next((key, value) for key, value in elements if not _is_valid(value, kind))
-    step = f".{key}" if isinstance(key, str) else f"[{key}]"
-    return _Location(container.where + step, _without_bounds(kind), value)
+    if isinstance(values, dict):
+        kind = get_args(container.kind)[1]
+        key = next(key for key, value in values.items() if not _is_valid(value, kind))
+        return _Location(f"{container.where}.{key}", _without_bounds(kind), values[key])
+    index = next(i for i, value in enumerate(values) if not _is_valid(value, _element_kind(container, i)))
+    return _element(container, index)
 
 
 def _element(container: _Location, index: int) -> _Location:
-    kind = get_args(container.kind)[index]
+    kind = _element_kind(container, index)
     return _Location(f"{container.where}[{index}]", _without_bounds(kind), container.value[index])
 
 
+def _element_kind(container: _Location, index: int) -> Any:
+    """Return the type of an element: each position's own, or one for all (``tuple[X, ...]``, a list)."""
+    kinds = get_args(container.kind)
+    if get_origin(container.kind) is tuple and kinds[-1] is not Ellipsis:
+        return kinds[index]
+    return kinds[0]
+
+
 def _field(table: _Location, name: str) -> _Location:
     kind = get_type_hints(table.kind, include_extras=True)[name]
     return _Location(f"{table.where}.{name}", _without_bounds(kind), table.value[name])
