Make the testbed's HTTP server where its event loop runs, so that lab run plays leases

What users saw: sabledyke lab run of an experiment on leases ended with 'no running event loop', always. Cause: the resource's service made aiohttp's server in its constructor, before asyncio.run.

--- a/sabledyke/testbed/http_service.py
+++ b/sabledyke/testbed/http_service.py
@@ -23,14 +23,14 @@
         self.port = 0
         self._port_reservation: socket.socket | None = None
         self._server: asyncio.Server | None = None
-        self._handlers = self._new_handlers()
+        self._handlers: web.Server | None = None  # made by ``open``, as it belongs to the running event loop
 
     async def open(self) -> None:
         """Begin to listen, on the same port as before."""
         if self._port_reservation is None:
             self._port_reservation = hold_port()
             self.port = int(self._port_reservation.getsockname()[1])
-        self._handlers = self._new_handlers()
+        self._handlers = web.Server(self._handle, access_log=None)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._handlers, HOST, self.port, reuse_port=True)
 
@@ -51,14 +51,13 @@
         """Reject new connections and reset open ones, as a process that dies does."""
         if self._server is not None:
             self._server.close()
+        if self._handlers is None:
+            return
         for connection in self._handlers.connections:
             if connection.transport is not None:
                 connection.transport.abort()
         await self._handlers.shutdown(0)
 
-    def _new_handlers(self) -> web.Server:
-        return web.Server(self._handle, access_log=None)
-
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         headers = {name.lower(): value for name, value in request.headers.items()}
         status, body = await self.answer(request.path, headers, await request.read())
