Reject a shard of NaN or infinity on the simulator's wire as a bad frame

The program ended with a bare ValueError or OverflowError; it now ends with one line and status 2, as for any other bad frame. No decision moves: a finite shard is read as before.

--- a/sabledyke/wire.py
+++ b/sabledyke/wire.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import IntEnum
+from math import isfinite
 from typing import Any
 
 from sabledyke.errors import SabledykeError
@@ -222,6 +223,8 @@
         scheduler_count,
         flags,
     ) = reader.unpack(_REQUEST)
+    if not isfinite(shard):
+        raise WireError(f"shard {shard} of request {request_id} is no number")
     return Request(
         request_id,
         class_index,
