Forget a number of schedulers that one request stated, and data keys that have settled

Found by looking for learned values that are never forgotten: a volume's share of its limit was the smallest that any request ever stated (hosts, bounded by the settings), so that one client held a volume to a part of its limit for as long as it was used. It now stays in force for 60 s after it was last stated, as other schedulers may still spend what they saved (the test of a changing number of schedulers is unchanged). And the table of ordered data keys that wait after an attempt grew by one entry a key, for ever; it is searched every 10 s.

Looked at and left: units, hosts and deadlines are bounded by the settings in protocol/gateway; Retry-After and load reports of nodes decide nothing; an older list version is believed at the second time; the usual value, arrivals, retries, sessions, loss and error rates decay or are windows; a kind's window and budget follow each answer.

--- a/sabledyke/policy/quota.py
+++ b/sabledyke/policy/quota.py
@@ -14,6 +14,8 @@
 from sabledyke.policy.state import PendingRequest, VolumeState
 
 MS_PER_SECOND = 1000
+# For how long after the last request that stated it a smaller share stays in force.
+SHARE_RETENTION_MS = 60_000.0
 
 
 class VolumeQuotas:
@@ -52,10 +54,25 @@
             self._context.log(
                 f"volume {request.volume:x} comes through {request.scheduler_count:g} hosts from now on"
             )
-        volume.quota_share = request.quota_share or min(share, volume.quota_share)
+        self._update_share(volume, share, assigned=bool(request.quota_share))
         self.refill(volume)
         return volume
 
+    def _update_share(self, volume: VolumeState, share: float, *, assigned: bool) -> None:
+        """Takes on an assigned share, or the smallest of those that requests stated lately.
+
+        Other schedulers may go on for a while with the larger number of schedulers, and what they saved up; a
+        number that one client stated, and no other, is forgotten in time.
+        """
+        now_ms = self._context.now_ms
+        expired = now_ms >= volume.share_stated_ms + SHARE_RETENTION_MS
+        if share > volume.quota_share and not assigned and not expired:
+            return
+        if share > volume.quota_share:
+            self.refill(volume)  # what has passed counts at the smaller share
+        volume.quota_share = share
+        volume.share_stated_ms = now_ms
+
     def reserve(self, volume: VolumeState, units: float) -> bool:
         """Takes the units from the reservation where it covers them; returns whether it does."""
         covered = volume.reserved_tokens >= units and volume.plan.reservation > 0
@@ -120,7 +137,7 @@
         plan = context.settings.plans[request.plan_index]
         uptime_s = (context.now_ms - context.started_at_ms) / MS_PER_SECOND
         reserved = context.settings.max_units + plan.reservation * share * uptime_s
-        return VolumeState(plan, share, reserved, 0.0, context.now_ms)
+        return VolumeState(plan, share, reserved, 0.0, context.now_ms, share_stated_ms=context.now_ms)
 
     def _reservation_capacity(self, volume: VolumeState) -> float:
         return volume.plan.reservation * volume.quota_share + self._context.settings.max_units
--- a/sabledyke/policy/requests.py
+++ b/sabledyke/policy/requests.py
@@ -88,6 +88,13 @@
         if pending.order_key:
             self._leave_order(pending)
 
+    def evict_settled_order(self) -> None:
+        """Forgets the data keys whose next request may run."""
+        now_ms = self._context.now_ms
+        self._order_settled_ms = {
+            key: settled_ms for key, settled_ms in self._order_settled_ms.items() if settled_ms > now_ms
+        }
+
     def shut_down_by(self, when_ms: float) -> None:
         """Brings due times forward to the end of the scheduler."""
         for pending in self.requests.values():
--- a/sabledyke/policy/scheduler.py
+++ b/sabledyke/policy/scheduler.py
@@ -242,6 +242,7 @@
         self._last_eviction_ms = now_ms
         idle_since_ms = now_ms - max(EVICTION_INTERVAL_MS, self.context.settings.overload_window_ms)
         self.quotas.evict_full(idle_since_ms)
+        self.requests.evict_settled_order()
         self.directory.evict_removed(idle_since_ms)
 
     def _set_wake_timer(self) -> None:
--- a/sabledyke/policy/state.py
+++ b/sabledyke/policy/state.py
@@ -17,13 +17,20 @@
 
 @dataclass(slots=True, eq=False)
 class VolumeState:
-    """A volume's token buckets at this scheduler: its share of the plan's reservation and limit."""
+    """A volume's token buckets at this scheduler: its share of the plan's reservation and limit.
+
+    Attributes:
+        quota_share: The share of both that this scheduler has.
+        refilled_ms: Up to when the buckets were filled.
+        share_stated_ms: When a request last stated this share.
+    """
 
     plan: Plan
     quota_share: float
     reserved_tokens: float
     limit_tokens: float
     refilled_ms: float
+    share_stated_ms: float
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/policy/test_ordering.py
+++ b/tests/policy/test_ordering.py
@@ -36,3 +36,11 @@
     rig.complete(first, request_completed=True)
     rig.advance(20)
     assert rig.attempt_count(second) == 1
+
+
+def test_what_is_remembered_of_data_keys_stays_bounded() -> None:
+    rig = SchedulerRig(classes=(ORDERED,), order_settle_ms=200)
+    for data_key in range(1, 21):
+        rig.complete(rig.submit(data_key=data_key), Outcome.RESET, request_completed=True)
+        rig.advance(1000)
+    assert len(rig.scheduler.requests._order_settled_ms) <= 11  # searched each 10 s
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -125,3 +125,18 @@
         rig.submit(plan_index=RESERVED_PLAN, scheduler_count=scheduler_count)
     logged = [action.text for action in actions_of(rig.actions, Log)]
     assert logged == ["volume 1 comes through 8 hosts from now on"]
+
+
+def test_a_number_of_schedulers_that_one_request_stated_is_forgotten_in_time() -> None:
+    """Guards against one client that lowers a volume's limit for all of its clients, for good."""
+    rig = SchedulerRig(node_entry(1), scheduler_count=4)
+    rig.submit(plan_index=CAPPED_PLAN, scheduler_count=4)
+    (volume,) = rig.scheduler.quotas.volumes.values()
+    shares = []
+    for _ in range(70):
+        rig.submit(plan_index=CAPPED_PLAN, scheduler_count=1)
+        rig.advance(1000)
+        shares.append(volume.quota_share)
+    assert shares[:59] == [0.25] * 59  # others may still spend what they saved
+    assert shares[-1] == 1
+    assert volume.limit_tokens <= CAPPED.limit_burst
