Let calls of the watched agent time out by an event in its test, not by a tenth of a second

The TimeoutError of test_pushed_lists_are_watched_unrequested_and_a_bad_update_undoes_no_drain (script6) came from the test's own wait: it gave each call 0.1 s, and the scripted agent answers each entry once, so that one answer later than that is never seen and the states never come.

A call's timeout now expires when the agent says that it has fallen silent. No product code changes.

--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -22,6 +23,29 @@
 from tests.support.server_rig import DEPLOYMENT
 
 
+class CallTimeouts:
+    """Timeouts of calls that expire when a test says so, and not by the time that a busy machine takes.
+
+    Attributes:
+        delays_s: The delays that were asked for.
+    """
+
+    def __init__(self) -> None:
+        self.delays_s: list[float] = []
+        self._latest: asyncio.Timeout | None = None
+
+    def timeout(self, delay_s: float) -> asyncio.Timeout:
+        """Return a timeout without an end, in place of ``asyncio.timeout``."""
+        self.delays_s.append(delay_s)
+        self._latest = asyncio.timeout(None)
+        return self._latest
+
+    def expire(self) -> None:
+        """Let the latest one expire now."""
+        assert self._latest is not None
+        self._latest.reschedule(asyncio.get_running_loop().time())
+
+
 def play_watch(
     scenario: Callable[
         [endpoint_watch.EndpointWatch, Discovery, list[discovery.EndpointListing | None]], Awaitable[None]
@@ -174,12 +198,14 @@
     states: list[str | None],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    timeouts = CallTimeouts()
     monkeypatch.setattr(
-        endpoint_watch, "LOCAL_AGENT", replace(LOCAL_AGENT, wait_s=0.05, response_margin_s=0.05)
+        endpoint_watch, "asyncio", SimpleNamespace(**vars(asyncio) | {"timeout": timeouts.timeout})
     )
 
     async def run() -> None:
         agent, seen = Discovery(), list[discovery.EndpointListing | None]()
+        agent.on_silence = timeouts.expire
         await agent.open()
         agent.hosts, agent.script, agent.indent = [HOST], list(script), 2
         settings = replace(DEPLOYMENT, polls_endpoint_list=not pushed)
@@ -194,5 +220,7 @@
         entries = [e for s in seen for e in ([None] if s is None else s.update.entries)]
         assert [None if e is None else e.state.name for e in entries] == states
         assert pushed or not agent.calls
+        assert set(timeouts.delays_s) <= {LOCAL_AGENT.wait_s + LOCAL_AGENT.response_margin_s}
+        assert bool(timeouts.delays_s) is pushed
 
     asyncio.run(run())
--- a/tests/standins/discovery.py
+++ b/tests/standins/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 from tests.standins.http_messages import http, read_http
@@ -19,6 +20,7 @@
         script: One entry for each call after the first: a list or bytes to answer with, None to cut the
             connection, a bytearray to write as it is before the call remains silent.
         indent: The indentation of lists, where they come indented.
+        on_silence: Called when a scripted call has fallen silent.
     """
 
     def __init__(self) -> None:
@@ -27,6 +29,7 @@
         self.calls: list[str] = []
         self.script: list[dict[str, Any] | bytes | None] = []
         self.indent: int | None = None
+        self.on_silence: Callable[[], None] = lambda: None
 
     def add(self, name: str, port: int, shard: int) -> None:
         """Add a storage node to the list."""
@@ -66,6 +69,7 @@
     async def _answer(self, writer: Writer, scripted: dict[str, Any] | bytes) -> None:
         if isinstance(scripted, bytearray):
             writer.write(bytes(scripted))
+            self.on_silence()
             await asyncio.sleep(FOREVER_S)
         body = json.dumps(scripted, indent=self.indent).encode() if isinstance(scripted, dict) else scripted
         writer.write(http(200, body))
