Print acts, timelines and members' logs where a test of processes fails

A failure seen once could not be traced, as its output was not kept: tests of leases now print the record of acts with what each holder knew and the timeline, tests of a fleet the last 60 lines of each member's log. The assertions are the same.

--- a/tests/lease/test_cluster.py
+++ b/tests/lease/test_cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, replace
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -62,15 +63,29 @@
 UNFENCED = replace(PLAIN, faults=LATE_MESSAGES, fenced=False)
 
 
+@dataclass(frozen=True)
+class Played:
+    """A run that was played, and the folder with its acts and timeline."""
+
+    report: Report
+    folder: Path
+
+    def describe(self) -> str:
+        """Return all that a failure seen once needs to be traced."""
+        files = ("acts.jsonl", "timeline.jsonl")
+        return "\n".join([*self.report.lines(), *((self.folder / name).read_text() for name in files)])
+
+
 @pytest.fixture(scope="module")
-def reports(tmp_path_factory: pytest.TempPathFactory) -> dict[ReportKey, Report]:
+def reports(tmp_path_factory: pytest.TempPathFactory) -> dict[ReportKey, Played]:
     """All of them, some at a time: most of it is waiting."""
-    finished: dict[ReportKey, Report] = {}
+    finished: dict[ReportKey, Played] = {}
     semaphore = asyncio.Semaphore(MAX_CONCURRENT_RUNS)
 
     async def run_one(key: ReportKey, experiment: Experiment) -> None:
         async with semaphore:
-            finished[key] = await LeaseRun(experiment, tmp_path_factory.mktemp("run"), key[2]).play()
+            folder = tmp_path_factory.mktemp("run")
+            finished[key] = Played(await LeaseRun(experiment, folder, key[2]).play(), folder)
 
     async def run_all() -> None:
         async with asyncio.TaskGroup() as group:
@@ -86,17 +101,18 @@
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize(("backend", "name"), ALL)
 def test_no_two_act_at_once_and_another_takes_over(
-    reports: dict[ReportKey, Report], backend: str, name: str, seed: int
+    reports: dict[ReportKey, Played], backend: str, name: str, seed: int
 ) -> None:
-    report = reports[backend, name, seed]
+    played = reports[backend, name, seed]
+    report = played.report
     evaluation = report.evaluation
-    assert evaluation.act_count > 10
-    assert evaluation.lease_overlap_count == 0
-    assert evaluation.overlap_count == 0
-    assert evaluation.stale_count == 0
+    assert evaluation.act_count > 10, played.describe()
+    assert evaluation.lease_overlap_count == 0, played.describe()
+    assert evaluation.overlap_count == 0, played.describe()
+    assert evaluation.stale_count == 0, played.describe()
     if ALL[backend, name].changes:
-        assert evaluation.holder_count >= 2
-        assert report.takeover_gaps_ms  # how soon: benchmarks/lease.py
+        assert evaluation.holder_count >= 2, played.describe()
+        assert report.takeover_gaps_ms, played.describe()  # how soon: benchmarks/lease.py
     if name == "lock":
         assert evaluation.longest_gap_ms > 1500  # nobody can act until its process has ended
     if name == "late":
@@ -106,6 +122,6 @@
 
 
 def test_without_the_fence_the_checker_finds_an_act_out_of_order(
-    reports: dict[ReportKey, Report],
+    reports: dict[ReportKey, Played],
 ) -> None:
-    assert reports["table", "unfenced", 1].evaluation.stale_count >= 1
+    assert reports["table", "unfenced", 1].report.evaluation.stale_count >= 1
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -49,6 +49,7 @@
 BACKENDS = ("table", "etcd")
 MAX_PROCESSES = 5
 TIMEOUT_S = 400
+LOGGED_LINES = 60  # of each process, where a run fails
 
 KILL_COORDINATOR = ReleaseFault(FleetFault.KILL)
 KILL_OTHER = ReleaseFault(FleetFault.KILL, on_coordinator=False)
@@ -161,10 +162,19 @@
     try:
         asyncio.run(play_to_end())
     except Exception:
-        return exchange, traceback.format_exc()
+        return exchange, f"{traceback.format_exc()}\n{member_logs(Path(folder))}"
     return exchange, ""
 
 
+def member_logs(folder: Path) -> str:
+    """The last lines of every process of a fleet, so that a failure seen once can be traced."""
+    tails = []
+    for path in sorted(folder.glob("n*/log.*")):
+        lines = path.read_text(errors="replace").splitlines()[-LOGGED_LINES:]
+        tails.append("\n".join([f"== {path.parent.name}/{path.name}", *lines]))
+    return "\n".join(tails)
+
+
 @pytest.fixture(scope="module")
 def runs(tmp_path_factory: pytest.TempPathFactory) -> Runs:
     """Run all of them, some at a time, as most of it is waiting."""
