Wait once for an attempt's outcome before the core answers in place of the policy

What callers saw: 500 where 503 was due, when the program stood still over the last 60 ms before a deadline, and a broken invariant in the log. Cause: after such a stall the core's own answer (30 ms before the deadline) is due in the same turn of the loop as the attempt's time-out (60 ms before), whose outcome reaches the policy some turns later. The core now waits 5 ms more, once, where an attempt is still in flight.

A new test holds the loop up from 0.9 to 0.985 s of a read's 1 s: 500 before, 503 now.

--- a/sabledyke/core/core.py
+++ b/sabledyke/core/core.py
@@ -13,7 +13,13 @@
 
 from sabledyke import log
 from sabledyke.core.known_nodes import listed_entry, takes_attempt, update_nodes
-from sabledyke.core.open_request import ANSWER_GUARD_MS, OpenRequest, SentAttempt, policy_request
+from sabledyke.core.open_request import (
+    ANSWER_GUARD_MS,
+    GUARD_POSTPONEMENT_MS,
+    OpenRequest,
+    SentAttempt,
+    policy_request,
+)
 from sabledyke.core.timers import TimerQueue
 from sabledyke.core.types import (
     Answer,
@@ -230,7 +236,7 @@
         if now_ms >= self._answer_all_by_ms:
             self._answer_all(now_ms)
         for request_id in due.guarded_requests:
-            self._fail_if_unanswered(request_id)
+            self._fail_if_unanswered(now_ms, request_id)
 
     def _decide(self, now_ms: float) -> list[Action]:
         events = self._events
@@ -309,14 +315,20 @@
             self._answer(request_id, Answer(status, retry_after_ms=self._retry_after_ms(now_ms, 0.0)))
             self._close_request(request_id)
 
-    def _fail_if_unanswered(self, request_id: int) -> None:
+    def _fail_if_unanswered(self, now_ms: float, request_id: int) -> None:
         """Answer a request whose time is over.
 
-        Guards against a policy that keeps silent: the client still gets its one answer in time.
+        Guards against a policy that keeps silent: the client still gets its one answer in time. Attempts end
+        before; where one is still in flight the program was held up, and its outcome, which the policy
+        answers by, is about to be reported.
         """
         request = self._requests.get(request_id)
         if request is None or request.answered:
             return
+        if request.in_flight and not request.guard_postponed:
+            request.guard_postponed = True
+            self._timers.add_answer_guard(now_ms + GUARD_POSTPONEMENT_MS, request_id)
+            return
         self._answer(request_id, Answer(AnswerStatus.FAILED))
         self._close_request(request_id)
         report_violation("every request is answered by the module in time", f"request {request_id}")
--- a/sabledyke/core/open_request.py
+++ b/sabledyke/core/open_request.py
@@ -16,6 +16,8 @@
 # this long before, and attempts end earlier still, so that their timeouts reach the policy first.
 ANSWER_GUARD_MS = 30.0
 ATTEMPT_GUARD_MS = 60.0
+# How much later the core answers, once, where the outcome of an attempt is still to be reported.
+GUARD_POSTPONEMENT_MS = 5.0
 
 
 class SentAttempt(NamedTuple):
@@ -38,6 +40,7 @@
         attempt_count: Attempts so far.
         in_flight: Attempts whose outcome is not known, by number.
         first_execution: The first attempt that may have run.
+        guard_postponed: The core waited for the outcome of an attempt before it answers itself.
     """
 
     client_request: ClientRequest
@@ -48,6 +51,7 @@
     attempt_count: int = 0
     in_flight: dict[int, SentAttempt] = field(default_factory=dict)
     first_execution: PossibleExecution | None = None
+    guard_postponed: bool = False
 
     @property
     def finished(self) -> bool:
--- a/tests/net/test_request_interruptions.py
+++ b/tests/net/test_request_interruptions.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import pytest
 
+from sabledyke import invariants
 from sabledyke.application import lifecycle
 from sabledyke.core import AttemptResult
 from sabledyke.net import streams
 from sabledyke.policy.events import Outcome
 from sabledyke.protocol.http import MAX_INPUT_BYTES
 from sabledyke.shutdown.graceful_shutdown import GracefulShutdown, ShutdownPhase
+from tests.standins import ask
 from tests.support.request_steps import Line, Step, request, until
-from tests.support.server_rig import Rig, play
+from tests.support.server_rig import GET, INFO, Rig, hold_answers, play
 
 Act = Callable[[Rig, Line], None]
 
@@ -194,3 +197,19 @@
         line.close()
 
     play(scenario)
+
+
+def test_a_loop_held_up_before_a_deadline_leaves_the_answer_to_the_policy() -> None:
+    """Guards against the core's own answer, a failure, where the policy would have rejected in time."""
+
+    async def scenario(rig: Rig) -> None:
+        arrived, _ = hold_answers(rig)
+        began_s = time.monotonic()
+        asked = asyncio.create_task(ask(rig.port, GET.format(1, "i", INFO)))
+        await arrived.wait()
+        await asyncio.sleep(began_s + 0.9 - time.monotonic())
+        time.sleep(began_s + 0.985 - time.monotonic())
+        assert (await asked)[0] == 503
+        assert not invariants.violations
+
+    play(scenario)
