Have lease release say whether the lease was given up, and what its holder waits for

A recall only told that the holder gives the lease up when it next renews; since a lease is held on while an act is out, that can take longer. The command now looks for two and a half renew intervals: given up, waits for the end of an act (renewed since), or not renewed since and how long the lease still runs.

--- a/sabledyke/cli/lease.py
+++ b/sabledyke/cli/lease.py
@@ -10,7 +10,10 @@
 from sabledyke.config import ConfigError
 from sabledyke.errors import AuthorityError
 from sabledyke.lease import extension, section
-from sabledyke.lease.types import Authority, LeaseSummary
+from sabledyke.lease.types import Authority, LeaseSummary, LeaseTimes
+
+POLL_S = 0.05  # between two looks whether a recalled lease has been given up
+RECALL_RENEW_INTERVALS = 2.5  # in which a holder that is well has renewed, and has learned of a recall
 
 
 def main(arguments: Mapping[str, Any]) -> int:
@@ -30,11 +33,12 @@
 
 
 async def _run(arguments: Mapping[str, Any]) -> bool:
-    authority = extension.create_authority(section.load(arguments["--operator"]))
+    settings = section.load(arguments["--operator"])
+    authority = extension.create_authority(settings)
     await authority.open()
     try:
         if arguments["release"]:
-            return await _release(authority, arguments["DUTY"], at_once=arguments["--force"])
+            return await _release(authority, arguments["DUTY"], settings.times, at_once=arguments["--force"])
         for lease in await authority.list_leases():
             print(_describe(lease))
         return True
@@ -42,14 +46,40 @@
         await authority.close()
 
 
-async def _release(authority: Authority, task_name: str, *, at_once: bool) -> bool:
+async def _release(authority: Authority, task_name: str, times: LeaseTimes, *, at_once: bool) -> bool:
     """Have the holder of a lease give it up; return whether anybody holds it."""
+    held = await _find(authority, task_name)
     is_held = await authority.recall(task_name, at_once=at_once)
     effect = "freed" if at_once else "its holder gives it up when it next renews"
     print(f"{task_name}: {effect if is_held else 'nobody holds it'}")
+    if is_held and held is not None and not at_once:
+        print(f"{task_name}: {await _recall_outcome(authority, held, times)}")
     return is_held
 
 
+async def _recall_outcome(authority: Authority, held: LeaseSummary, times: LeaseTimes) -> str:
+    """Return what became of a recall once its holder must have learned of it, and what it waits for."""
+    loop = asyncio.get_running_loop()
+    ends_s = loop.time() + RECALL_RENEW_INTERVALS * times.renew_interval_ms / 1000
+    last = held
+    was_renewed = False
+    while loop.time() < ends_s:
+        await asyncio.sleep(POLL_S)
+        now = await _find(authority, held.task_name)
+        if now is None or (now.holder, now.token) != (held.holder, held.token):
+            return f"given up by {held.holder}"
+        was_renewed = was_renewed or now.remaining_ms > last.remaining_ms
+        last = now
+    if was_renewed:
+        return f"{held.holder} waits for the end of the act that is out, and gives it up then"
+    return f"{held.holder} has not renewed since; the lease runs out in {last.remaining_ms:.0f} ms"
+
+
+async def _find(authority: Authority, task_name: str) -> LeaseSummary | None:
+    leases = await authority.list_leases()
+    return next((lease for lease in leases if lease.task_name == task_name and lease.holder), None)
+
+
 def _describe(lease: LeaseSummary) -> str:
     holder = f"held by {lease.holder}, {lease.remaining_ms:.0f} ms left" if lease.holder else "nobody's"
     recalled = ", recalled" if lease.recalled else ""
--- a/tests/lease/test_operations.py
+++ b/tests/lease/test_operations.py
@@ -11,6 +11,7 @@
 from sabledyke import log
 from sabledyke.__main__ import main
 from sabledyke.config import ConfigError
+from sabledyke.errors import LeaseLostError
 from sabledyke.lease import section
 from sabledyke.lease.etcd_authority import EtcdAuthority
 from sabledyke.lease.extension import LeaseExtension
@@ -49,7 +50,10 @@
             for arguments, status, said in COMMANDS:
                 command = ["lease", *arguments, "--operator", str(file)]
                 assert await asyncio.to_thread(main, command) == status
-                assert said in capsys.readouterr().out
+                out = capsys.readouterr().out
+                assert said in out
+                if arguments == ["release", "sweep"]:
+                    assert "given up by n0.life" in out
             # It finds out when it renews, and the others have one lease's time to acquire it.
             while manager.leading.is_set():
                 await asyncio.sleep(0.01)
@@ -61,6 +65,35 @@
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
 
 
+def test_a_recall_says_that_it_waits_and_for_what(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a command that tells of a lease given up while its holder waits for an act."""
+    monkeypatch.setattr(log, "_limiter", log.Limiter())
+
+    async def run() -> None:
+        file = tmp_path / "operator.toml"
+        times = "ttl_ms = 1000\nrenew_ms = 100\nmargin_ms = 100"
+        file.write_text(f'[lease]\npath = "{tmp_path / "l"}"\n{times}\n')
+        authority = _authority(section.load(str(file)))
+        await authority.open()
+        manager = LeaseManager("sweep", "n0.life", authority, TIMES, 1)
+        task = asyncio.create_task(manager.run())
+        await manager.leading.wait()
+        command = ["lease", "release", "sweep", "--operator", str(file)]
+        async with manager.act():
+            assert await asyncio.to_thread(main, command) == 0
+            assert "n0.life waits for the end of the act that is out" in capsys.readouterr().out
+            assert manager.current_token() == 1  # for the steps of this act
+        with pytest.raises(LeaseLostError):
+            manager.current_token()
+        await manager.stop()
+        await task
+        await authority.close()
+
+    asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
+
+
 def _authority(settings: section.LeaseSection) -> Authority:
     """The authority of these settings, with leases of 1 s."""
     if settings.path:
