--- a/tests/core/test_answers.py
+++ b/tests/core/test_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sabledyke.core import ANSWER_GUARD_MS, Answer, AnswerStatus, AttemptResult
+from sabledyke.core.open_request import GUARD_POSTPONEMENT_MS
 from sabledyke.policy.actions import Action
 from sabledyke.policy.events import Event, Outcome
 from tests.support.core_bench import START_MS, CoreBench, StartedAttempt, no_actions
@@ -50,6 +51,33 @@
     assert sum(violations.values()) == 1
 
 
+@pytest.mark.parametrize("late_ms", [0.0, 5.0, 25.0])
+def test_after_a_stall_the_outcome_of_an_attempt_reaches_the_policy_before_the_core_answers(
+    late_ms: float,
+) -> None:
+    """Guards against a stall before a deadline that has the core answer in place of the policy."""
+    bench = CoreBench()
+    request_id = bench.submit()
+    bench.now_ms += 1000 - ANSWER_GUARD_MS + late_ms
+    bench.core.run_batch(bench.now_ms)
+    assert not bench.answers
+    timed_out = AttemptResult(Outcome.TIMEOUT, may_have_run=True)
+    bench.core.on_attempt_completed(bench.now_ms, request_id, 0, timed_out)
+    bench.core.run_batch(bench.now_ms)
+    assert [answer.status for answer in bench.answers] == [AnswerStatus.REJECTED]
+
+
+def test_an_outcome_that_is_never_reported_costs_no_client_its_answer(violations: Counter[str]) -> None:
+    bench = CoreBench()
+    bench.submit()
+    bench.now_ms += 1000 - ANSWER_GUARD_MS
+    bench.core.run_batch(bench.now_ms)
+    with pytest.raises(AssertionError):  # counted only, under -O
+        bench.advance(GUARD_POSTPONEMENT_MS)
+    assert bench.answers == [Answer(AnswerStatus.FAILED)]
+    assert sum(violations.values()) == 1
+
+
 def test_an_error_in_the_policy_does_not_end_the_program(violations: Counter[str]) -> None:
     def fail(_now_ms: float, _events: list[Event]) -> list[Action]:
         raise KeyError("a bug")
