End a shutdown earlier by as much as the loop has been late, and log late loops

What callers saw: with the program held up near the kill, requests that were read ended without an answer. Its last answers come 0.22 to 0.12 s before the earliest kill, whatever the machine does.

How late the loop runs the core's timers is recorded (LoopLateness: counts by size, the longest of the last 10 s), a line is logged from 0.1 s on, and the counts at the end of a shutdown. The counts do not go to /admin/stats, whose bytes are pinned. The shutdown ends earlier by the recent lateness, at most 0.45 s, so that no connection ends before 3 s after SIGTERM.

--- a/sabledyke/application/core_driver.py
+++ b/sabledyke/application/core_driver.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from sabledyke.application.extensions import Done
+from sabledyke.application.loop_lateness import LoopLateness
 from sabledyke.core import AttemptResult, ClientRequest, Core
 from sabledyke.net import clock
 
@@ -14,11 +15,15 @@
 
     The core is pure: each of its calls is given the time. This driver knows the time and decides nothing.
     ``core`` is set once, right after construction, as the core is given ``wake`` when it is made.
+
+    Attributes:
+        lateness: How late the event loop ran the core's timers.
     """
 
     core: Core
 
     def __init__(self) -> None:
+        self.lateness = LoopLateness()
         self._loop = asyncio.get_running_loop()
         self._batch_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -69,7 +74,13 @@
         if due_ms is None:
             self._timer = None
             return
-        self._timer = self._loop.call_later(max(0.0, due_ms - now_ms) / 1000, self.run_batch)
+        due_s = self._loop.time() + max(0.0, due_ms - now_ms) / 1000
+        self._timer = self._loop.call_at(due_s, self._on_timer, due_s)
+
+    def _on_timer(self, due_s: float) -> None:
+        now_s = self._loop.time()
+        self.lateness.record(now_s, now_s - due_s)
+        self.run_batch()
 
     def cancel_timer(self) -> None:
         """Cancel the timer of the next batch."""
--- a/sabledyke/application/shutdown_driver.py
+++ b/sabledyke/application/shutdown_driver.py
@@ -9,6 +9,7 @@
 
 from sabledyke import log
 from sabledyke.application.assembly import Assembly
+from sabledyke.application.loop_lateness import LOGGED_S
 from sabledyke.net.listener import Listener
 from sabledyke.shutdown.graceful_shutdown import GracefulShutdown, ShutdownPhase
 
@@ -44,6 +45,9 @@
         for listener in self._closing_listeners:
             listener.close_now()
         await self._settle()
+        lateness = self._assembly.driver.lateness
+        if lateness.longest_s >= LOGGED_S:
+            log.emit("loop", f"late in all: {lateness.describe()}")
         for frontend in self._assembly.fronts:  # those that stopped halfway, and those that never read
             frontend.close()
 
@@ -68,7 +72,17 @@
             if self._closes_idle_connections(phase):
                 for frontend in self._assembly.fronts:
                     frontend.close_idle(self._loop.time(), POLL_INTERVAL_S)
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await self._sleep_until_poll()
+
+    async def _sleep_until_poll(self) -> None:
+        """Sleep, and end earlier where the loop is late, so that no answer is due at the kill."""
+        lateness = self._assembly.driver.lateness
+        due_s = self._loop.time() + POLL_INTERVAL_S
+        await asyncio.sleep(POLL_INTERVAL_S)
+        now_s = self._loop.time()
+        lateness.record(now_s, now_s - due_s)
+        if self.plan.allow_for_lateness(now_s, lateness.longest_recent_s(now_s)):
+            self._set_end()
 
     def _current_phase(self) -> ShutdownPhase:
         return self.plan.phase(self._loop.time() + SETTLE_S)
--- a/sabledyke/shutdown/graceful_shutdown.py
+++ b/sabledyke/shutdown/graceful_shutdown.py
@@ -35,6 +35,7 @@
         max_deadline_s: A longer deadline counts as this.
         kill_grace_s: How long after the longest deadline SIGKILL may come.
         kill_margin_s: Between the end and the earliest kill, for iterations of the loop and a busy core.
+        max_lateness_s: By how much earlier the end is at most, where the loop has been late.
         final_answers_s: For final answers to reach their clients.
         draining_s: Over which answers end connections, so that clients do not all reconnect at once.
         hastened_s: What a second SIGINT leaves until the end.
@@ -45,6 +46,7 @@
     max_deadline_s: float = 3.0
     kill_grace_s: float = 0.7
     kill_margin_s: float = 0.12
+    max_lateness_s: float = 0.45
     final_answers_s: float = 0.1
     draining_s: float = 0.35
     hastened_s: float = 1.0
@@ -83,7 +85,8 @@
         self._planned = planned
         self._listener_closes_at = requested_at + times.listener_open_s
         earliest_kill = requested_at + min(longest_deadline_s, times.max_deadline_s) + times.kill_grace_s
-        self._schedule(requested_at, earliest_kill - times.kill_margin_s)
+        self._latest_end = earliest_kill - times.kill_margin_s
+        self._schedule(requested_at, self._latest_end)
 
     @property
     def available_again_at(self) -> float:
@@ -98,6 +101,21 @@
             self._schedule(now, completed_at)
             self._draining_from = now
 
+    def allow_for_lateness(self, now: float, late_s: float) -> bool:
+        """Complete earlier by as much as the loop has been late lately, within bounds; return whether it did.
+
+        Guards against a kill that comes while the loop is held up with answers due. Connections begin to
+        drain no earlier than otherwise, as long as that leaves time.
+        """
+        earliest_end = self._listener_closes_at + self._times.draining_s + self._times.final_answers_s
+        completed_at = max(self._latest_end - min(late_s, self._times.max_lateness_s), earliest_end)
+        if completed_at >= self.completed_at:
+            return False
+        draining_from = self._draining_from
+        self._schedule(now, completed_at)
+        self._draining_from = max(now, min(draining_from, self.answer_by))
+        return True
+
     def phase(self, now: float) -> ShutdownPhase:
         """Return the phase at ``now``; phases only go forward."""
         if now >= self.completed_at:
--- a/tests/support/shutdown_soak.py
+++ b/tests/support/shutdown_soak.py
@@ -25,6 +25,7 @@
 
 from tests.standins import Reader, Writer, read_http
 from tests.standins.service import FOREVER_S
+from tests.support.loop_lag import loop_lag
 from tests.transcripts.support import Deployment, Respond, Response, request, response, settings
 
 MAX_DEADLINE_S = 3.0
@@ -105,7 +106,8 @@
         sigterm_s: When the first SIGTERM was sent, in seconds of the event loop's clock.
         first_close_s: When the first connection ended after that, in seconds after it.
         exit_status: How the program ended; -9 where it had to be killed.
-        log: What the program logged.
+        log: What the program logged, the lateness of its event loop too.
+        loop_lag_s: The longest time by which the event loop of the clients and storage nodes was late.
     """
 
     plan: SoakPlan
@@ -115,10 +117,12 @@
     first_close_s: float = KILL_AFTER_S
     exit_status: int = 0
     log: str = ""
+    loop_lag_s: float = 0.0
 
     def describe(self) -> str:
         """Return what is needed to trace a loss."""
         lines = [f"seed {self.plan.seed}: {self.plan}", f"exit status {self.exit_status}"]
+        lines.append(f"the loop of clients and storage nodes was late by up to {self.loop_lag_s:.3f} s")
         lines += [f"lost: {json.dumps(asdict(lost))}" for lost in self.lost]
         return "\n".join([*lines, self.log])
 
@@ -167,7 +171,10 @@
         config = settings()
         for profile in config["profiles"]:
             profile |= {"aim": 2000, "hard_limit": 1000 * MAX_DEADLINE_S}
-        async with Deployment(self._folder, *nodes, config=config, sockets=SOCKETS) as deployment:
+        async with (
+            loop_lag() as lag,
+            Deployment(self._folder, *nodes, config=config, sockets=SOCKETS) as deployment,
+        ):
             crowd = await self._open_crowd(deployment.front) if self._plan.crowd else []
             clients = [asyncio.create_task(self._client(deployment.front, n)) for n in range(CLIENT_COUNT)]
             await asyncio.sleep(SERVICE_BEFORE_SIGTERM_S)
@@ -177,6 +184,7 @@
             for writer in crowd:
                 writer.transport.abort()
             seen = {match[1].decode() for node in deployment.nodes for match in _request_ids(node.requests)}
+        self._report.loop_lag_s = lag.longest_s
         self._judge(seen)
         self._report.log = (self._folder / "stderr.txt").read_text()
         return self._report
