--- a/sabledyke/application/core_driver.py
+++ b/sabledyke/application/core_driver.py
@@ -36,9 +36,9 @@
         """
         return self.core.submit(clock.now(), work, done)
 
-    def on_attempt_completed(self, request_id: int, number: int, ended: AttemptResult) -> None:
+    def on_attempt_completed(self, request_id: int, number: int, result: AttemptResult) -> None:
         """Report the outcome of an attempt to the core."""
-        self.core.on_attempt_completed(clock.now(), request_id, number, ended)
+        self.core.on_attempt_completed(clock.now(), request_id, number, result)
 
     def may_send(self, request_id: int, number: int) -> bool:
         """Tell whether an attempt may still be written now."""
--- a/sabledyke/lease/holder.py
+++ b/sabledyke/lease/holder.py
@@ -139,8 +139,8 @@
     return Transition(begun, [], [])
 
 
-def on_act_ended(
-    state: HolderState, times: LeaseTimes, now_ms: float, token: int, *, has_ended: bool
+def on_act_completed(
+    state: HolderState, times: LeaseTimes, now_ms: float, token: int, *, is_completed: bool
 ) -> Transition:
     """Process that nobody waits for the act under this token any more.
 
@@ -149,12 +149,12 @@
         times: The times of the lease.
         now_ms: The time on this instance's clock.
         token: The token that the act was begun under.
-        has_ended: Whether the act has certainly ended. Where its answer was lost or not waited for, it counts
-            as running until the end of its lease.
+        is_completed: Whether the act has certainly ended. Where its answer was lost or not waited for, it
+            counts as running until the end of its lease.
     """
     if state.phase not in HOLDING_PHASES or state.token != token:
-        return Transition(replace(state, act_status=ActStatus.ENDED), [], [])
-    act_status = ActStatus.ENDED if has_ended else ActStatus.UNRESOLVED
+        return Transition(replace(state, act_status=ActStatus.COMPLETED), [], [])
+    act_status = ActStatus.COMPLETED if is_completed else ActStatus.UNRESOLVED
     state = replace(state, act_status=act_status)
     if state.phase is Phase.HOLDING:
         return Transition(state, [], [])
@@ -185,7 +185,7 @@
     """Stop acting at the end of the lease, and counting an act whose answer never came."""
     events: list[HolderEvent] = []
     if not is_act_out(state, now_ms):
-        state = replace(state, act_status=ActStatus.ENDED)
+        state = replace(state, act_status=ActStatus.COMPLETED)
     if may_act(state, now_ms):
         return state, events
     if state.acting:
--- a/sabledyke/lease/holder_state.py
+++ b/sabledyke/lease/holder_state.py
@@ -26,7 +26,7 @@
 class ActStatus(Enum):
     """What is known of the holder's last act."""
 
-    ENDED = "ended"  # its answer came, or it was never sent; also before the first act
+    COMPLETED = "completed"  # its answer came, or it was never sent; also before the first act
     RUNNING = "running"
     UNRESOLVED = "unresolved"  # no answer came: it counts as running until the end of its lease
 
@@ -84,7 +84,7 @@
     token: int = 0
     acts_until_ms: float = -inf
     acting: bool = False
-    act_status: ActStatus = ActStatus.ENDED
+    act_status: ActStatus = ActStatus.COMPLETED
     act_covered_until_ms: float = -inf
     abandoned_token: int = 0
     seen_version: LeaseVersion | None = None
--- a/sabledyke/lease/manager.py
+++ b/sabledyke/lease/manager.py
@@ -111,24 +111,24 @@
         self._apply(holder.on_act_begun(self.state, self.times))
         self.idle.clear()
         self._act_timeout = timeout = asyncio.timeout(None)
-        has_ended = False
+        is_completed = False
         try:
             async with timeout:
                 yield lease
-            has_ended = True
+            is_completed = True
         except Exception as error:
             if timeout.expired():
                 raise LeaseLostError(f"the lease {self.task_name} ended before its act") from error
-            has_ended = not isinstance(error, ActUnresolvedError)
+            is_completed = not isinstance(error, ActUnresolvedError)
             raise
         finally:
-            self._end_act(lease.token, has_ended=has_ended)
+            self._complete_act(lease.token, is_completed=is_completed)
 
-    def _end_act(self, token: int, *, has_ended: bool) -> None:
+    def _complete_act(self, token: int, *, is_completed: bool) -> None:
         self._act_timeout = None
         self.idle.set()
         now_ms = self._clock()
-        self._apply(holder.on_act_ended(self.state, self.times, now_ms, token, has_ended=has_ended))
+        self._apply(holder.on_act_completed(self.state, self.times, now_ms, token, is_completed=is_completed))
         self._changed.set()
 
     def current_token(self) -> int:
--- a/sabledyke/net/connection_pool.py
+++ b/sabledyke/net/connection_pool.py
@@ -138,14 +138,14 @@
                 self._complete(attempt, AttemptResult(Outcome.EXPIRED, may_have_run=False))
                 return
             attempt.connection = connection
-            ended = await connection.link.exchange(attempt.work, remaining_ms)
+            result = await connection.link.exchange(attempt.work, remaining_ms)
         except (streams.StreamClosedError, PeerProtocolError, OSError) as error:
             self._on_attempt_broken(attempt, error)
             return
         if attempt.connection is not None and connection.link.reusable:
             attempt.connection = None
             self._return_connection(connection)
-        self._complete(attempt, ended)
+        self._complete(attempt, result)
 
     def _on_attempt_broken(self, attempt: _Attempt, error: Exception) -> None:
         if isinstance(error, PeerProtocolError):
@@ -214,7 +214,7 @@
         ran = attempt.abort()
         self._complete(attempt, AttemptResult(Outcome.TIMEOUT if ran else Outcome.NO_CONNECTION, ran))
 
-    def _complete(self, attempt: _Attempt, ended: AttemptResult) -> None:
+    def _complete(self, attempt: _Attempt, result: AttemptResult) -> None:
         """Report an attempt, once; a connection that it still holds is closed, which gives it up."""
         if self._attempts.pop((attempt.request_id, attempt.number), None) is None:
             return
@@ -224,7 +224,7 @@
         attempt.connection = None
         if connection is not None:
             self._discard(connection)
-        self.report(attempt.request_id, attempt.number, ended)
+        self.report(attempt.request_id, attempt.number, result)
 
 
 class _PooledConnection:
--- a/sabledyke/store/drift.py
+++ b/sabledyke/store/drift.py
@@ -44,7 +44,7 @@
         self._known.pop(piece, None)
         self._open_writes[piece] = self._open_writes.get(piece, 0) + 1
 
-    def on_write_ended(self, now_ms: float, piece: Piece, digest: str | None) -> None:
+    def on_write_completed(self, now_ms: float, piece: Piece, digest: str | None) -> None:
         """Note that a write ended: served with this digest, or None where it may or may not have run."""
         others = self._open_writes.get(piece, 1) - 1
         if others:
--- a/sabledyke/store/extension.py
+++ b/sabledyke/store/extension.py
@@ -58,7 +58,7 @@
     def wrap_report(self, onward: ReportAttempt) -> ReportAttempt:
         """See ``Extension``."""
         self.recording_transport.report = onward
-        return self.recording_transport.on_attempt_ended
+        return self.recording_transport.on_attempt_completed
 
     def wrap_transport(self, inner: Transport) -> Transport:
         """See ``Extension``."""
--- a/sabledyke/store/intent_manager.py
+++ b/sabledyke/store/intent_manager.py
@@ -138,9 +138,9 @@
         """Cancel an attempt; whether it was still waiting here, and so was never sent."""
         return self._writes.on_attempt_cancelled(attempt)
 
-    def on_attempt_ended(self, name: str, *, may_have_run: bool) -> None:
+    def on_attempt_completed(self, name: str, *, may_have_run: bool) -> None:
         """Note that an attempt that was sent is over."""
-        self._writes.on_attempt_ended(name, may_have_run=may_have_run)
+        self._writes.on_attempt_completed(name, may_have_run=may_have_run)
 
     def on_write_completed(
         self, name: str, entry: JournalEntry, ticket: int | None, deadline_ms: float = 0.0
--- a/sabledyke/store/intent_table.py
+++ b/sabledyke/store/intent_table.py
@@ -126,7 +126,7 @@
         self._drop_if_unwanted(waiting.name)
         return True
 
-    def on_attempt_ended(self, name: str, *, may_have_run: bool) -> None:
+    def on_attempt_completed(self, name: str, *, may_have_run: bool) -> None:
         """Note that an attempt that was sent is over."""
         write = self._writes.get(name)
         if write is not None:
--- a/sabledyke/store/recording_transport.py
+++ b/sabledyke/store/recording_transport.py
@@ -128,7 +128,7 @@
         """Note that the client of a request is gone: a write is complete, and nobody is answered."""
         write = self._open_writes.pop(request_id, None)
         if write is not None:
-            self.drift.on_write_ended(clock.now(), write.piece, None)
+            self.drift.on_write_completed(clock.now(), write.piece, None)
             self._journal(write, OUTCOME_DEPARTED, None)
 
     def _note_earlier_send(self, work: ClientRequest, name: str) -> None:
@@ -140,7 +140,7 @@
     def _on_answer(self, request_id: int, write: OpenWrite, answer: Answer, done: Done) -> None:
         self._open_writes.pop(request_id, None)
         served = answer.status is AnswerStatus.SERVED
-        self.drift.on_write_ended(clock.now(), write.piece, write.digest if served else None)
+        self.drift.on_write_completed(clock.now(), write.piece, write.digest if served else None)
         if not served or not write.name:
             self._journal(write, answer.status.value, None)
             done(answer)
@@ -212,13 +212,13 @@
         """See ``core.Transport``."""
         self.inner.close_idle(node)
 
-    def on_attempt_ended(self, request_id: int, number: int, ended: AttemptResult) -> None:
+    def on_attempt_completed(self, request_id: int, number: int, result: AttemptResult) -> None:
         """Pass on what the transport below reports."""
         sent = self._sent.pop((request_id, number), None)
         if sent is not None:
-            self.intents.on_attempt_ended(sent.name, may_have_run=ended.may_have_run)
-            ended = replace(ended, held_back_ms=sent.waited_ms)
-        self.report(request_id, number, ended)
+            self.intents.on_attempt_completed(sent.name, may_have_run=result.may_have_run)
+            result = replace(result, held_back_ms=sent.waited_ms)
+        self.report(request_id, number, result)
 
     # Effects.
 
@@ -244,7 +244,7 @@
         remaining_ms = max(MIN_TIMEOUT_MS, waiting.deadline_ms - now_ms)
         self.inner.start(*attempt, waiting.node, waiting.work, remaining_ms)
 
-    def _end_unsent(self, attempt: AttemptId, ended: AttemptResult) -> None:
+    def _end_unsent(self, attempt: AttemptId, result: AttemptResult) -> None:
         waiting = self._waiting.pop(attempt, None)
         if waiting is not None:
-            self.report(*attempt, replace(ended, held_back_ms=clock.now() - waiting.requested_at_ms))
+            self.report(*attempt, replace(result, held_back_ms=clock.now() - waiting.requested_at_ms))
--- a/sabledyke/testbed/fenced_resource.py
+++ b/sabledyke/testbed/fenced_resource.py
@@ -168,10 +168,10 @@
 
 def _longest_gap_ms(ordered: Sequence[Act]) -> float:
     longest_ms = 0.0
-    ended_ms = ordered[0].end_ms if ordered else 0.0
+    completed_ms = ordered[0].end_ms if ordered else 0.0
     for act in ordered:
-        longest_ms = max(longest_ms, act.start_ms - ended_ms)
-        ended_ms = max(ended_ms, act.end_ms)
+        longest_ms = max(longest_ms, act.start_ms - completed_ms)
+        completed_ms = max(completed_ms, act.end_ms)
     return longest_ms
 
 
--- a/sabledyke/testbed/lease_model/acts.py
+++ b/sabledyke/testbed/lease_model/acts.py
@@ -37,14 +37,14 @@
             yield ActStep("begins an act", begun, holder.on_act_begun(state, config.times), "acts")
         return
     if act.is_running:
-        ended = act._replace(is_running=False)
+        stopped = act._replace(is_running=False)
         if act.is_awaited:
-            decided = holder.on_act_ended(state, config.times, 0.0, act.token, has_ended=True)
+            decided = holder.on_act_completed(state, config.times, 0.0, act.token, is_completed=True)
             yield ActStep("hears that its act has ended", None, decided)
         else:
             yield ActStep("has its act end unheard", None)
         if budget.losses and act.is_awaited:
-            yield ActStep("loses the answer to its act", ended, cost="losses")
+            yield ActStep("loses the answer to its act", stopped, cost="losses")
     if act.is_awaited and (budget.losses or state.phase is Phase.STOPPING):
         # Its connection is reset, or the shutdown allows no longer.
         cost = "" if state.phase is Phase.STOPPING else "losses"
@@ -87,5 +87,5 @@
 def _unawaited(
     config: ModelConfig, instance: Instance, act: ModelAct
 ) -> tuple[ModelAct | None, HolderTransition]:
-    decided = holder.on_act_ended(instance.holder, config.times, 0.0, act.token, has_ended=False)
+    decided = holder.on_act_completed(instance.holder, config.times, 0.0, act.token, is_completed=False)
     return act._replace(is_awaited=False) if act.is_running else None, decided
--- a/sabledyke/testbed/lease_model/canonical.py
+++ b/sabledyke/testbed/lease_model/canonical.py
@@ -130,7 +130,7 @@
     request = holder.pending_request
     is_waiting = request is not None
     is_holding = holder.phase in HOLDING_PHASES
-    is_act_out = holder.act_status is not ActStatus.ENDED
+    is_act_out = holder.act_status is not ActStatus.COMPLETED
     act = instance.act
     if act is not None:
         act = act._replace(
--- a/sabledyke/testbed/shared_limits_evaluation.py
+++ b/sabledyke/testbed/shared_limits_evaluation.py
@@ -27,7 +27,7 @@
     """A time from and to, on one clock."""
 
     began_s: float
-    ended_s: float
+    completed_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,10 +109,10 @@
         unit_times_s: When units of the volume that it holds were served.
         report: What is added to.
     """
-    began_s, ended_s = hang.span
-    late_requests = sum(at_s > (began_s + ended_s) / 2 for at_s in hang.request_times_s)
-    requests_per_s = late_requests / (ended_s - began_s) * 2
-    return_s = time_to_return_s(unit_times_s, ended_s, experiment.limit)
+    began_s, completed_s = hang.span
+    late_requests = sum(at_s > (began_s + completed_s) / 2 for at_s in hang.request_times_s)
+    requests_per_s = late_requests / (completed_s - began_s) * 2
+    return_s = time_to_return_s(unit_times_s, completed_s, experiment.limit)
     report.lines.append(
         f"a hung box was tried {requests_per_s:.1f} times a second, work back in {return_s:.2f} s"
     )
@@ -139,8 +139,8 @@
 def calm_units(unit_times_s: Iterable[float], run: Span, disturbed: Sequence[Span]) -> int:
     """Return how many units were served in the run while nothing disturbed it."""
     return sum(
-        run.began_s <= at_s <= run.ended_s
-        and not any(span.began_s <= at_s <= span.ended_s for span in disturbed)
+        run.began_s <= at_s <= run.completed_s
+        and not any(span.began_s <= at_s <= span.completed_s for span in disturbed)
         for at_s in unit_times_s
     )
 
@@ -150,17 +150,17 @@
     calm_s = 0.0
     calm_since_s = run.began_s
     for span in sorted(disturbed):
-        calm_s += max(0.0, min(span.began_s, run.ended_s) - calm_since_s)
-        calm_since_s = max(calm_since_s, span.ended_s)
-    return calm_s + max(0.0, run.ended_s - calm_since_s)
+        calm_s += max(0.0, min(span.began_s, run.completed_s) - calm_since_s)
+        calm_since_s = max(calm_since_s, span.completed_s)
+    return calm_s + max(0.0, run.completed_s - calm_since_s)
 
 
-def time_to_return_s(unit_times_s: Iterable[float], ended_s: float, limit: float) -> float:
+def time_to_return_s(unit_times_s: Iterable[float], completed_s: float, limit: float) -> float:
     """Return how long after a fault enough units were served in a short time, ``NEVER_S`` for never."""
     enough_units = limit * RETURN_WINDOW_S * RETURN_FRACTION
-    later = [at_s for at_s in unit_times_s if at_s > ended_s]
+    later = [at_s for at_s in unit_times_s if at_s > completed_s]
     for start_s in later:
         units = sum(start_s <= at_s < start_s + RETURN_WINDOW_S for at_s in later)
         if units >= enough_units:
-            return start_s - ended_s
+            return start_s - completed_s
     return NEVER_S
--- a/sabledyke/testbed/shared_limits_run.py
+++ b/sabledyke/testbed/shared_limits_run.py
@@ -103,14 +103,14 @@
         random = Random(self.seed)
         faults = [asyncio.create_task(self._inject(fleet, fault, random)) for fault in self.experiment.fault]
         await asyncio.sleep(self.experiment.length_s)
-        ended_s = time.monotonic()
+        completed_s = time.monotonic()
         await asyncio.gather(*faults)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for client in clients:
             client.close()
-        self._evaluate(fleet, Span(began_s, ended_s))
+        self._evaluate(fleet, Span(began_s, completed_s))
 
     def _clients(self, fleet: Fleet) -> list[Client]:
         ports = [instance.port_number for instance in fleet.cluster.instances]
--- a/tests/compatibility/test_etcd.py
+++ b/tests/compatibility/test_etcd.py
@@ -59,14 +59,14 @@
     return base64.b64decode(text).decode()
 
 
-def _play(story: Callable[[RecordingEtcd, str], Awaitable[None]]) -> list[str]:
+def _play(scenario: Callable[[RecordingEtcd, str], Awaitable[None]]) -> list[str]:
     """Play it with an etcd and its address; what the program asked of it."""
 
     async def run() -> list[str]:
         etcd = RecordingEtcd()
         await etcd.open()
         try:
-            await story(etcd, f"127.0.0.1:{etcd.port}")
+            await scenario(etcd, f"127.0.0.1:{etcd.port}")
         finally:
             await etcd.close()
         return etcd.asked
@@ -74,7 +74,7 @@
     return asyncio.run(run())
 
 
-async def _lease_story(etcd: RecordingEtcd, address: str) -> None:
+async def _lease_scenario(etcd: RecordingEtcd, address: str) -> None:
     authority = lease.etcd_authority(address)
     assert values(await lease.look(authority, "nightly")) == [[0, 0], "", True, 0.0]
     assert values(await lease.take(authority, "nightly", (0, 0))) == [2]
@@ -101,7 +101,7 @@
     await authority.close()
 
 
-async def _log_story(etcd: RecordingEtcd, address: str) -> None:
+async def _log_scenario(etcd: RecordingEtcd, address: str) -> None:
     shelf = log.EtcdShelf([address], "sabledyke/", 20_000.0)
     assert await shelf.commit({key: 0 for key in CELLS}, CELLS)
     assert not await shelf.commit({"fleet/h": 0}, {"fleet/h": b"lost"})
@@ -119,15 +119,15 @@
     await shelf.close()
 
 
-@pytest.mark.parametrize(("name", "story"), [("etcd_lease", _lease_story), ("etcd_log", _log_story)])
+@pytest.mark.parametrize(("name", "scenario"), [("etcd_lease", _lease_scenario), ("etcd_log", _log_scenario)])
 def test_calls_to_the_gateway_and_the_stored_values_are_the_same(
-    name: str, story: Callable[[RecordingEtcd, str], Awaitable[None]]
+    name: str, scenario: Callable[[RecordingEtcd, str], Awaitable[None]]
 ) -> None:
-    assert _play(story) == (DATA / f"{name}_calls.txt").read_text().splitlines()
+    assert _play(scenario) == (DATA / f"{name}_calls.txt").read_text().splitlines()
 
 
 def test_a_lease_that_another_version_stored_is_read() -> None:
-    async def story(etcd: RecordingEtcd, address: str) -> None:
+    async def scenario(etcd: RecordingEtcd, address: str) -> None:
         granted = str((await etcd.ask("/v3/lease/grant", TTL="60"))["ID"])
         for key, value in STORED.items():
             await etcd.put(key, value, "0" if "done" in key else granted)
@@ -140,11 +140,11 @@
         assert values(await lease.renew(authority, "nightly", 2)) == [True]
         await authority.close()
 
-    _play(story)
+    _play(scenario)
 
 
 def test_a_log_that_another_version_stored_is_read() -> None:
-    async def story(etcd: RecordingEtcd, address: str) -> None:
+    async def scenario(etcd: RecordingEtcd, address: str) -> None:
         message = '["ask/n1","n1",1,1,false]\n{"name":"n1","plan":"p1","life":3,"number":5}'
         await etcd.put("sabledyke/board/fleet/h", "[2,0,51,0,0]")
         await etcd.put("sabledyke/board/fleet/k/ask/n1", "[1,51,false]")
@@ -159,4 +159,4 @@
         assert await log.claim(shelf, "fleet", "n1", "bbbbbbbbbbbb") == ("n1", 2, "bbbbbbbbbbbb")
         await shelf.close()
 
-    _play(story)
+    _play(scenario)
--- a/tests/compatibility/test_log.py
+++ b/tests/compatibility/test_log.py
@@ -127,7 +127,7 @@
 def test_a_member_writes_its_record_and_its_registers(tmp_path: Path) -> None:
     path = str(tmp_path / "log.sqlite3")
 
-    async def story(shelf: log.Shelf) -> None:
+    async def scenario(shelf: log.Shelf) -> None:
         await log.member_writes(path, {"00000003b4d60021": 12.5})
         await log.sharer_writes(path, 0x3B4D60021)
         fleet, _ = await log.read_topic(shelf, "fleet")
@@ -140,11 +140,11 @@
         assert beats["load/n1"] == b'{"00000003b4d60021":12.5}'
         assert await log.read_registers(shelf, "shares") == {"n1": b'[1,{"3b4d60021":1.5}]'}
 
-    _on_table(path, story)
+    _on_table(path, scenario)
 
 
 def test_a_stored_log_is_read_in_full(tmp_path: Path) -> None:
-    async def story(shelf: log.Shelf) -> None:
+    async def scenario(shelf: log.Shelf) -> None:
         fleet, offsets = await log.read_topic(shelf, "fleet")
         assert fleet == RECORDS | LATER
         assert offsets == OFFSETS
@@ -152,7 +152,7 @@
         assert await log.read_registers(shelf, "beats") == BEATS
         assert await log.read_registers(shelf, "shares") == SHARES
 
-    _on_table(load("log.sql", tmp_path / "log.sqlite3"), story)
+    _on_table(load("log.sql", tmp_path / "log.sqlite3"), scenario)
 
 
 def test_the_same_log_is_written_to_the_same_cells(tmp_path: Path) -> None:
@@ -164,7 +164,7 @@
 def test_each_cell_of_a_stored_log_is_written_again_to_the_same_bytes(tmp_path: Path) -> None:
     kinds = set()
 
-    async def story(shelf: log.Shelf) -> None:
+    async def scenario(shelf: log.Shelf) -> None:
         for key, cell in await shelf.scan("", "~", 1000):
             kind = "/".join(key.split("/")[1:2])
             kinds.add(kind)
@@ -172,14 +172,14 @@
             if kind != "r":
                 assert log.rewritten(key, data) == data, key
 
-    _on_table(load("log.sql", tmp_path / "log.sqlite3"), story)
+    _on_table(load("log.sql", tmp_path / "log.sqlite3"), scenario)
     assert kinds == {"h", "k", "w", "c", "m", "r"}
 
 
 def test_a_stored_log_goes_on(tmp_path: Path) -> None:
     """Its writers' next lives are counted on, its places and its head hold for what is appended."""
 
-    async def story(shelf: log.Shelf) -> None:
+    async def scenario(shelf: log.Shelf) -> None:
         writer = await log.claim(shelf, "fleet", "n1", "cccccccccccc")
         assert writer == ("n1", 2, "cccccccccccc")
         assert await log.append_messages(shelf, "fleet", writer, ("member/n1", RECORDS["member/n1"])) == (17,)
@@ -188,7 +188,7 @@
         assert fleet == RECORDS | LATER
         assert offsets == OFFSETS | {"member/n1": 17}
 
-    _on_table(load("log.sql", tmp_path / "log.sqlite3"), story)
+    _on_table(load("log.sql", tmp_path / "log.sqlite3"), scenario)
 
 
 OFFSETS = dict(zip(RECORDS, range(5, 12), strict=True)) | {"member/n2": 15, "clear/n2": 14}
@@ -217,12 +217,12 @@
         await log.put_registers(shelf, topic, writer, words)
 
 
-def _on_table(path: str, story: Callable[[log.Shelf], Awaitable[None]]) -> None:
+def _on_table(path: str, scenario: Callable[[log.Shelf], Awaitable[None]]) -> None:
     async def run() -> None:
         shelf = log.TableShelf(path)
         await shelf.open()
         try:
-            await story(shelf)
+            await scenario(shelf)
         finally:
             await shelf.close()
 
--- a/tests/compatibility/test_store.py
+++ b/tests/compatibility/test_store.py
@@ -50,11 +50,11 @@
 ]
 
 
-Story = Callable[[], Coroutine[None, None, None]]
+Scenario = Callable[[], Coroutine[None, None, None]]
 
 
-def _play(story: Story) -> None:
-    asyncio.run(story())
+def _play(scenario: Scenario) -> None:
+    asyncio.run(scenario())
 
 
 async def write_schema_2(path: str) -> None:
@@ -108,7 +108,7 @@
 def test_a_stored_record_is_migrated_and_read_in_full(schema: int, tmp_path: Path) -> None:
     path = load(f"store_schema_{schema}.sql", tmp_path / "store.sqlite3")
 
-    async def story() -> None:
+    async def scenario() -> None:
         assert await record.migrate(path) == (f"schema 2{', was 1' if schema == 1 else ''}")
         session = await record.open_record(path)
         for name, sent, state in WRITES:
@@ -118,7 +118,7 @@
         assert (await record.begin_life(session, "n1"))[:3] == ([1, 0, 0] if schema == 1 else [3, 2, 5])
         await session.close()
 
-    _play(story)
+    _play(scenario)
     assert _schema(dump(path)) == _schema((DATA / "store_schema_2.sql").read_text())
 
 
@@ -130,7 +130,7 @@
 def test_a_stored_journal_passes_its_audit_and_is_exported(tmp_path: Path) -> None:
     path = load("store_schema_2.sql", tmp_path / "store.sqlite3")
 
-    async def story() -> None:
+    async def scenario() -> None:
         assert await record.audit(path)
         text = await record.export(path)
         rows = [orjson.loads(line) for line in text.splitlines()]
@@ -138,27 +138,27 @@
         assert [list(row.values())[:3] for row in rows] == [["n1", seq, 1] for seq in range(1, 6)]
         assert text == (DATA / "journal.jsonl").read_bytes()
 
-    _play(story)
+    _play(scenario)
 
 
 def test_a_stored_fence_refuses_an_older_token(tmp_path: Path) -> None:
     path = load("store_schema_2.sql", tmp_path / "store.sqlite3")
 
-    async def story() -> None:
+    async def scenario() -> None:
         session = await record.open_record(path)
         await lease.pass_fence(session, "nightly", 7)
         with pytest.raises(lease.StoreFault):
             await lease.pass_fence(session, "nightly", 6)
         await session.close()
 
-    _play(story)
+    _play(scenario)
 
 
 def test_stored_leases_are_read_in_full(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(time, "time", lambda: 1700000001.25)
     path = load("leases.sql", tmp_path / "leases.sqlite3")
 
-    async def story() -> None:
+    async def scenario() -> None:
         authority = lease.table_authority(path)
         await authority.open()
         assert [values(standing) for standing in await authority.standing()] == [
@@ -172,4 +172,4 @@
         assert values(await lease.take(authority, "nightly", (2, 1))) == [3]
         await authority.close()
 
-    _play(story)
+    _play(scenario)
--- a/tests/store/record_model.py
+++ b/tests/store/record_model.py
@@ -165,7 +165,7 @@
         fate = self.random.choice(("served", "served", "lost", "lost after", "refused"))
         if fate in ("served", "lost after"):
             self.effects.setdefault(known.name, []).append((self.now, known.cell))
-        self.manager.on_attempt_ended(known.name, may_have_run=fate != "refused")
+        self.manager.on_attempt_completed(known.name, may_have_run=fate != "refused")
         self.complete_write(known.name, "served" if fate == "served" else "failed")
 
     def complete_write(self, name: str, outcome: str) -> None:
--- a/tests/store/test_intent_manager.py
+++ b/tests/store/test_intent_manager.py
@@ -66,9 +66,9 @@
     sends(manager, 0, 1)
     manager.next_batch(0)
     assert manager.on_batch_committed(1, {"a"}, {}) == [SendAttempt((1, 0))]
-    manager.on_attempt_ended("a", may_have_run=False)
+    manager.on_attempt_completed("a", may_have_run=False)
     assert sends(manager, 2, 2, shard=0) == [SendAttempt((2, 0))]  # the same place: the same intent serves
-    manager.on_attempt_ended("a", may_have_run=False)
+    manager.on_attempt_completed("a", may_have_run=False)
     assert sends(manager, 3, 3, shard=1) == []
     batch = manager.next_batch(4)
     assert batch is not None
--- a/tests/store/test_retention.py
+++ b/tests/store/test_retention.py
@@ -33,7 +33,7 @@
                 results = await session.transact(statements.batch_steps(batch, "n0"))
                 manager.on_batch_committed(now, statements.accepted_intents(batch, results), {})
                 if not batch.entries:
-                    manager.on_attempt_ended(name, may_have_run=True)
+                    manager.on_attempt_completed(name, may_have_run=True)
                     manager.on_write_completed(name, ENTRY, None)
             largest = max(largest, manager.size)
         rows = (await session.query(statements.COUNT_ROWS["writes"]))[0][0]
--- a/tests/support/shutdown_soak.py
+++ b/tests/support/shutdown_soak.py
@@ -82,7 +82,7 @@
         sent_s: When it was written.
         outcome: ``answered``, ``closed``, ``reset`` or ``open``.
         status: The status of its answer.
-        ended_s: When its answer or the end of its connection came.
+        completed_s: When its answer or the end of its connection came.
         unread: The end of its connection shows that it was not read.
     """
 
@@ -91,7 +91,7 @@
     sent_s: float
     outcome: str = "open"
     status: int = 0
-    ended_s: float = 0.0
+    completed_s: float = 0.0
     unread: bool = False
 
 
@@ -238,16 +238,16 @@
             try:
                 first_line, headers, _ = await read_http(reader)
             except asyncio.IncompleteReadError:
-                sent.ended_s = self._loop.time()
+                sent.completed_s = self._loop.time()
                 sent.outcome = "closed"
                 sent.unread = await _was_reset(writer.get_extra_info("socket"))
                 return
             except ConnectionError:
-                sent.ended_s = self._loop.time()
+                sent.completed_s = self._loop.time()
                 sent.outcome = "reset"
                 sent.unread = True
                 return
-            sent.ended_s = self._loop.time()
+            sent.completed_s = self._loop.time()
             sent.outcome = "answered"
             sent.status = int(first_line.split()[1])
             if headers.get("connection") == "close":
@@ -271,7 +271,7 @@
     def _judge(self, seen_by_nodes: set[str]) -> None:
         for sent in self._report.requests:
             answered = sent.outcome == "answered"
-            in_time = sent.ended_s - sent.sent_s <= sent.deadline_s + LATE_ANSWER_S
+            in_time = sent.completed_s - sent.sent_s <= sent.deadline_s + LATE_ANSWER_S
             was_read = sent.request_id in seen_by_nodes or not sent.unread
             if (answered and not in_time) or (not answered and was_read):
                 self._report.lost.append(sent)
@@ -321,7 +321,7 @@
         sent.status
         for report in reports.values()
         for sent in report.requests
-        if sent.ended_s > report.sigterm_s
+        if sent.completed_s > report.sigterm_s
     )
     lost = sum(len(report.lost) for report in reports.values())
     closes = min(report.first_close_s for report in reports.values())
