--- a/sabledyke/cli/lab.py
+++ b/sabledyke/cli/lab.py
@@ -40,14 +40,15 @@
 def _check_leases(*, exhaustive: bool) -> bool:
     """Check each setup of the model, print its result, and return whether all hold."""
     from sabledyke.testbed.lease_model import checker
-    from sabledyke.testbed.lease_model.state import GIVING_UP, PAIRS, THREES
+    from sabledyke.testbed.lease_model.state import GIVING_UP, GIVING_UP_WITH_FAULTS, PAIRS, THREES
 
     holds = True
     small_fleets = PAIRS + GIVING_UP
     with ProcessPoolExecutor() as pool:
         pairs = [*zip(small_fleets, pool.map(checker.check, small_fleets), strict=True)]
-    threes = ((setup, checker.check(setup, parallel=True)) for setup in THREES * exhaustive)
-    for setup, found in chain(pairs, threes):
+    large_fleets = (GIVING_UP_WITH_FAULTS + THREES) * exhaustive
+    found_later = ((setup, checker.check(setup, parallel=True)) for setup in large_fleets)
+    for setup, found in chain(pairs, found_later):
         authority = "counting authority" if setup.authority_tracks_expiry else "table"
         budget = setup.budget._asdict().items()
         faults = ", ".join(f"{count} {fault}" for fault, count in budget if count) or "no faults"
