Count and log for each rejected or failed request why it was given up

Traces of rejections had to guess: the policy rejects in eight places, the core answers in two more, and all of them looked alike in metrics and logs.

--- a/sabledyke/application/core_driver.py
+++ b/sabledyke/application/core_driver.py
@@ -6,6 +6,7 @@
 
 from sabledyke.application.extensions import Done
 from sabledyke.application.loop_lateness import LoopLateness
+from sabledyke.application.rejection_log import RejectionLog
 from sabledyke.core import AttemptResult, ClientRequest, Core
 from sabledyke.net import clock
 
@@ -18,12 +19,14 @@
 
     Attributes:
         lateness: How late the event loop ran the core's timers.
+        rejection_log: Logs why the core rejected requests.
     """
 
     core: Core
 
     def __init__(self) -> None:
         self.lateness = LoopLateness()
+        self.rejection_log = RejectionLog()
         self._loop = asyncio.get_running_loop()
         self._batch_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -69,6 +72,7 @@
         self._batch_scheduled = False
         now_ms = clock.now()
         self.core.run_batch(now_ms)
+        self.rejection_log.report(now_ms, self.core.metrics.rejections)
         self.cancel_timer()
         due_ms = self.core.next_batch_due()
         if due_ms is None:
--- a/sabledyke/application/lifecycle.py
+++ b/sabledyke/application/lifecycle.py
@@ -191,6 +191,7 @@
         for extension in self._assembly.parts:
             await extension.close()
         self._assembly.driver.cancel_timer()
+        self._assembly.driver.rejection_log.report_rest(self._assembly.core.metrics.rejections)
         broken = ", ".join(f"{name}: {count}" for name, count in invariants.violations.items()) or "none"
         name = self._assembly.config.name
         log.emit("stop", f"{name} has answered all accepted requests; invariants broken: {broken}")
--- a/sabledyke/core/core.py
+++ b/sabledyke/core/core.py
@@ -39,6 +39,7 @@
     FetchList,
     Log,
     Reject,
+    RejectReason,
     SetTimer,
     StartAttempt,
     WatchList,
@@ -256,9 +257,10 @@
                 self._start_attempt(now_ms, request_id, node, timeout_ms)
             case Reject(request_id, after_ms):
                 retry_after_ms = self._retry_after_ms(now_ms, after_ms)
-                self._finish(request_id, Answer(AnswerStatus.REJECTED, retry_after_ms=retry_after_ms))
+                answer = Answer(AnswerStatus.REJECTED, retry_after_ms=retry_after_ms)
+                self._finish(request_id, answer, action.reason)
             case Fail(request_id):
-                self._finish(request_id, Answer(AnswerStatus.FAILED))
+                self._finish(request_id, Answer(AnswerStatus.FAILED), action.reason)
             case CancelAttempt(request_id, number):
                 self._cancel_attempt(request_id, number)
             case SetTimer(token, delay_ms):
@@ -312,7 +314,8 @@
         for request_id in unanswered:
             may_be_rejected = self._requests[request_id].may_be_rejected
             status = AnswerStatus.REJECTED if may_be_rejected else AnswerStatus.FAILED
-            self._answer(request_id, Answer(status, retry_after_ms=self._retry_after_ms(now_ms, 0.0)))
+            answer = Answer(status, retry_after_ms=self._retry_after_ms(now_ms, 0.0))
+            self._answer(request_id, answer, RejectReason.SHUTDOWN)
             self._close_request(request_id)
 
     def _fail_if_unanswered(self, now_ms: float, request_id: int) -> None:
@@ -329,7 +332,7 @@
             request.guard_postponed = True
             self._timers.add_answer_guard(now_ms + GUARD_POSTPONEMENT_MS, request_id)
             return
-        self._answer(request_id, Answer(AnswerStatus.FAILED))
+        self._answer(request_id, Answer(AnswerStatus.FAILED), RejectReason.GUARD)
         self._close_request(request_id)
         report_violation("every request is answered by the module in time", f"request {request_id}")
 
@@ -342,17 +345,19 @@
             return advised_ms
         return min(back_ms, self.settings.max_retry_after_ms)
 
-    def _finish(self, request_id: int, answer: Answer) -> None:
+    def _finish(self, request_id: int, answer: Answer, reason: RejectReason) -> None:
         request = self._requests.get(request_id)
         if request is not None and not request.answered:
-            self._answer(request_id, answer)
+            self._answer(request_id, answer, reason)
             self._forget_if_finished(request_id)
 
-    def _answer(self, request_id: int, answer: Answer) -> None:
+    def _answer(self, request_id: int, answer: Answer, reason: RejectReason | None = None) -> None:
         request = self._requests[request_id]
         check(not request.answered, "one final answer", f"request {request_id}")
         request.answered = True
         self.metrics.count_answer(answer.status.value, request.request_class.name)
+        if reason is not None:
+            self.metrics.rejections[reason] += 1
         request.done(answer)
 
     def _close_request(self, request_id: int) -> None:
--- a/sabledyke/metrics.py
+++ b/sabledyke/metrics.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from sabledyke.policy.actions import RejectReason
 from sabledyke.policy.events import Outcome
 from sabledyke.policy.nodes import NodeEntry, NodeState
 from sabledyke.policy.state import NodeRecord
@@ -26,6 +27,7 @@
 
     Attributes:
         answers: Final answers by metric (a value of ``METRIC_OF_STATUS``) and name of the request class.
+        rejections: Requests that were answered rejected or failed, by reason.
         dispatches: Attempts that were written completely to storage nodes.
         successful_reloads: Configurations that were read again and are in force.
         failed_reloads: Configurations that were read again and rejected.
@@ -33,6 +35,7 @@
 
     def __init__(self) -> None:
         self.answers: Counter[tuple[str, str]] = Counter()
+        self.rejections: Counter[RejectReason] = Counter()
         self.dispatches = 0
         self.successful_reloads = 0
         self.failed_reloads = 0
@@ -93,6 +96,15 @@
             f"svc.targets_disabled:{disabled}|g",
             f"svc.reload_success:{self.successful_reloads}|c",
             f"svc.reload_failure:{self.failed_reloads}|c",
+            *self._rejection_lines(),
+        ]
+
+    def _rejection_lines(self) -> list[str]:
+        """Return a line for each reason that occurred, in the order in which they are defined."""
+        return [
+            f"svc.rejections.{reason.value}:{self.rejections[reason]}|c"
+            for reason in RejectReason
+            if self.rejections[reason]
         ]
 
     def _answer_lines(self, classes: Iterable[str]) -> list[str]:
--- a/sabledyke/policy/actions.py
+++ b/sabledyke/policy/actions.py
@@ -2,11 +2,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 from sabledyke.policy.nodes import NodeId
 
 
+class RejectReason(Enum):
+    """Why a request is given up; the values are names of metrics."""
+
+    LIMIT = "limit"  # its volume's limit would let it go too late
+    ADMISSION = "admission"  # its node's capacity is kept for requests of a higher value
+    TOO_LATE = "too_late"  # no answer could come in time for its full value
+    SLOW_START = "slow_start"  # the node that warms up admits it at no time
+    QUEUE = "queue"  # it was worth the least in a queue that answers too late
+    CROWD = "crowd"  # nearly all places for open requests were taken
+    NO_NODE = "no_node"  # no node may serve it
+    ATTEMPTS = "attempts"  # its last attempt failed, and there is no retry
+    SHUTDOWN = "shutdown"  # the program ended
+    GUARD = "guard"  # the policy was silent until its deadline
+
+
 @dataclass(slots=True, frozen=True)
 class StartAttempt:
     """Send the request to a node; a timeout of 0 lets the attempt run until the client gives up."""
@@ -22,6 +38,7 @@
 
     request_id: int
     retry_after_ms: float = 0.0
+    reason: RejectReason = field(kw_only=True)
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,6 +46,7 @@
     """Final answer: failed; it may have had its effect."""
 
     request_id: int
+    reason: RejectReason = field(kw_only=True)
 
 
 @dataclass(slots=True, frozen=True)
--- a/sabledyke/policy/attempts.py
+++ b/sabledyke/policy/attempts.py
@@ -4,7 +4,7 @@
 
 from math import inf
 
-from sabledyke.policy.actions import StartAttempt
+from sabledyke.policy.actions import RejectReason, StartAttempt
 from sabledyke.policy.collaborators import Collaborators
 from sabledyke.policy.concurrency import smoothing_weight
 from sabledyke.policy.events import AttemptCompleted, Outcome, PossibleExecution
@@ -130,4 +130,4 @@
         if event.outcome is not Outcome.TIMEOUT and self._retries.may_retry(pending, node):
             self._requests.request_selection(pending)
         else:
-            self._requests.reject(pending)
+            self._requests.reject(pending, RejectReason.ATTEMPTS)
--- a/sabledyke/policy/dispatch.py
+++ b/sabledyke/policy/dispatch.py
@@ -5,6 +5,7 @@
 from enum import Enum, auto
 from math import inf
 
+from sabledyke.policy.actions import RejectReason
 from sabledyke.policy.attempts import AttemptTracker
 from sabledyke.policy.collaborators import Collaborators
 from sabledyke.policy.concurrency import ConcurrencyLimiter
@@ -94,8 +95,10 @@
         match verdict:
             case DispatchVerdict.SEND:
                 self._attempts.start(pending, node)
-            case DispatchVerdict.REJECT_TOO_LATE | DispatchVerdict.REJECT_SLOW_START:
-                self._requests.reject(pending, queue.drain_time_ms())
+            case DispatchVerdict.REJECT_TOO_LATE:
+                self._requests.reject(pending, RejectReason.TOO_LATE, queue.drain_time_ms())
+            case DispatchVerdict.REJECT_SLOW_START:
+                self._requests.reject(pending, RejectReason.SLOW_START, queue.drain_time_ms())
             case DispatchVerdict.WAIT_FOR_PERMISSION | DispatchVerdict.WAIT_FOR_CAPACITY:
                 if verdict is DispatchVerdict.WAIT_FOR_CAPACITY:
                     queue.blocked_value = pending.value
@@ -138,4 +141,4 @@
         queue.append(pending)
         wait_ms = queue.expected_wait_ms()
         if self._context.now_ms + wait_ms + node.latency_ms > pending.full_value_until_ms:
-            self._requests.reject(queue.pop_lowest_value(), wait_ms)
+            self._requests.reject(queue.pop_lowest_value(), RejectReason.QUEUE, wait_ms)
--- a/sabledyke/policy/requests.py
+++ b/sabledyke/policy/requests.py
@@ -5,7 +5,7 @@
 from collections import deque
 from math import inf
 
-from sabledyke.policy.actions import CancelAttempt, Fail, Reject
+from sabledyke.policy.actions import CancelAttempt, Fail, Reject, RejectReason
 from sabledyke.policy.context import Context
 from sabledyke.policy.quota import VolumeQuotas
 from sabledyke.policy.retry import RetryPolicy
@@ -60,7 +60,7 @@
             settled_ms = self._context.now_ms + self._context.settings.order_settle_ms
             self._order_settled_ms[pending.order_key] = settled_ms
 
-    def reject(self, pending: PendingRequest, wait_ms: float = inf) -> None:
+    def reject(self, pending: PendingRequest, reason: RejectReason, wait_ms: float = inf) -> None:
         """Gives the final answer: rejected where a retry is known to be harmless, else failed.
 
         It is given at once, with the time until there may be capacity, since a client that comes back sooner
@@ -72,9 +72,9 @@
         self._quotas.give_back(pending)
         request_id = pending.request.id
         if self._retry_is_harmless(pending):
-            self._context.emit(Reject(request_id, self._retry_after_ms(wait_ms)))
+            self._context.emit(Reject(request_id, self._retry_after_ms(wait_ms), reason=reason))
         else:
-            self._context.emit(Fail(request_id))
+            self._context.emit(Fail(request_id, reason=reason))
         self.complete(pending)
 
     def complete(self, pending: PendingRequest) -> None:
--- a/sabledyke/policy/scheduler.py
+++ b/sabledyke/policy/scheduler.py
@@ -10,7 +10,7 @@
 
 from math import ceil, inf
 
-from sabledyke.policy.actions import Action, SetTimer, WatchList
+from sabledyke.policy.actions import Action, RejectReason, SetTimer, WatchList
 from sabledyke.policy.admission import AdmissionControl
 from sabledyke.policy.attempts import AttemptTracker
 from sabledyke.policy.collaborators import Collaborators
@@ -179,7 +179,7 @@
         pending = self._register(request)
         wait_ms = self.quotas.wait_for_limit_ms(pending)
         if wait_ms > max(0.0, pending.full_value_until_ms - self.context.now_ms):
-            self.requests.reject(pending, wait_ms)
+            self.requests.reject(pending, RejectReason.LIMIT, wait_ms)
         else:
             self.requests.request_selection(pending)
 
@@ -232,7 +232,7 @@
         idle = [pending for pending in queued if not pending.open_attempts and not pending.completed]
         idle.sort(key=lambda pending: (pending.value, -pending.due_ms))
         for pending in idle[: max(0, ceil(open_count - allowed))]:
-            self.requests.reject(pending)
+            self.requests.reject(pending, RejectReason.CROWD)
 
     def _evict_idle(self) -> None:
         """Forgets volumes and nodes whose records a new one would equal, so that memory stays bounded."""
--- a/sabledyke/policy/selection.py
+++ b/sabledyke/policy/selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sabledyke.policy.actions import RejectReason
 from sabledyke.policy.admission import AdmissionControl
 from sabledyke.policy.collaborators import Collaborators
 from sabledyke.policy.context import TICK_MS
@@ -37,7 +38,8 @@
         self._concurrency.close_period(node)
         node.requested_units += pending.request.units
         if not pending.attempts_started and not self._admission.admit(pending, node):
-            self._requests.reject(pending, self._concurrency.period_end_wait_ms(node))
+            wait_ms = self._concurrency.period_end_wait_ms(node)
+            self._requests.reject(pending, RejectReason.ADMISSION, wait_ms)
             return
         node.queue.append(pending)
         self._directory.mark_active(node)
@@ -55,7 +57,7 @@
         if until_ms < pending.full_value_until_ms and not self._retries.repeat_window_over(pending):
             self._requests.unassigned.append(pending)
         else:
-            self._requests.reject(pending)
+            self._requests.reject(pending, RejectReason.NO_NODE)
 
     def _preference(self, pending: PendingRequest, node: NodeRecord) -> tuple[bool, float, float]:
         """Sort key: last choices last, then by expected wait, ties by chance."""
--- a/tests/application/test_console.py
+++ b/tests/application/test_console.py
@@ -114,6 +114,8 @@
         assert metrics["svc.concurrent"] == 0
         assert metrics["svc.targets"] == 2
         assert metrics["svc.reload_success"] == metrics["svc.reload_failure"] == 0
+        given_up = sum(count for name, count in metrics.items() if name.startswith("svc.rejections."))
+        assert given_up == sum(count for name, count in seen.items() if "success" not in name)
         rig.server.reload()
         after = stats((await call(rig.server.console_port, "GET", "/admin/stats"))[1])
         assert after["svc.reload_success"] == 1
--- a/tests/core/test_answers.py
+++ b/tests/core/test_answers.py
@@ -8,7 +8,7 @@
 
 from sabledyke.core import ANSWER_GUARD_MS, Answer, AnswerStatus, AttemptResult
 from sabledyke.core.open_request import GUARD_POSTPONEMENT_MS
-from sabledyke.policy.actions import Action
+from sabledyke.policy.actions import Action, RejectReason
 from sabledyke.policy.events import Event, Outcome
 from tests.support.core_bench import START_MS, CoreBench, StartedAttempt, no_actions
 from tests.support.nodes import node_id
@@ -47,6 +47,7 @@
     with pytest.raises(AssertionError):  # counted only, under -O
         bench.advance(500)
     assert bench.answers == [Answer(AnswerStatus.FAILED)]
+    assert bench.core.metrics.rejections == {RejectReason.GUARD: 1}
     assert bench.now_ms == START_MS + 500 - ANSWER_GUARD_MS
     assert sum(violations.values()) == 1
 
--- a/tests/policy/test_retry.py
+++ b/tests/policy/test_retry.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sabledyke.policy.actions import Fail, Reject, StartAttempt
+from sabledyke.policy.actions import Fail, Reject, RejectReason, StartAttempt
 from sabledyke.policy.events import Outcome, PossibleExecution
 from sabledyke.policy.retry import WRITE_DELAY_MS
 from sabledyke.policy.settings import DeduplicationScope, RepeatSafety, RequestClass
@@ -107,6 +107,6 @@
         rig.handle(new_request(1, remaining_ms=2000, shard=shard, write=True, possible_execution=execution))
         assert rig.was_sent(1) is is_sent
         if age_ms == 500:  # nothing can change: it fails at once
-            assert rig.answers(1) == [Fail(1)]
+            assert rig.answers(1) == [Fail(1, reason=RejectReason.NO_NODE)]
         rig.advance(3000)
-        assert is_sent or rig.answers(1) == [Fail(1)]
+        assert is_sent or rig.answers(1) == [Fail(1, reason=RejectReason.NO_NODE)]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -20,6 +20,7 @@
     Log,
     Probe,
     Reject,
+    RejectReason,
     SendToPeer,
     SetTimer,
     StartAttempt,
@@ -169,7 +170,7 @@
     [
         (StartAttempt(1, A, 80.0), 19, 16),
         (WatchList(), 2, 25),
-        (Reject(1, 20.0), 13, 24),
+        (Reject(1, 20.0, reason=RejectReason.LIMIT), 13, 24),
         (CloseIdle(A), 7, 27),
         (SendToPeer(None, b"abc"), 8, 20),
         (Probe(A), 7, 17),
@@ -177,7 +178,7 @@
         (Log("hello"), 8, 21),
         (FetchList(), 1, 26),
         (SetTimer(1, 5.0), 13, 23),
-        (Fail(1), 5, 18),
+        (Fail(1, reason=RejectReason.ATTEMPTS), 5, 18),
     ],
 )
 def test_every_action(action: Action, size: int, code: int) -> None:
