Have one task of a process read the fleet's topic at a time

Cause: the member's and the coordinator's step share one LogReader. A page that is applied after the other task has read on sets the reader back, and the page that the other applies next skips what lies between, for good. A member that skips 'silent' never writes 'ready' again.

--- a/sabledyke/compacted_log/reader.py
+++ b/sabledyke/compacted_log/reader.py
@@ -53,7 +53,7 @@
 
 
 class LogReader:
-    """What one reader knows of a topic.
+    """What one reader knows of a topic; tasks that share one take turns, from a page's read to its end.
 
     Attributes:
         position: The next offset to read.
--- a/sabledyke/rollout/fleet_log.py
+++ b/sabledyke/rollout/fleet_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from sabledyke.compacted_log.client import CompactedLog
@@ -27,6 +28,7 @@
         self._compacted_log = compacted_log
         self._reader = LogReader(max_keys)
         self._on_change = on_change
+        self._reading = asyncio.Lock()
 
     @property
     def record_count(self) -> int:
@@ -34,9 +36,14 @@
         return len(self._reader.latest)
 
     async def read(self) -> FleetView:
-        """Read the topic to its end, and return the view; it is made anew only where something changed."""
-        has_changed = await self._compacted_log.catch_up(FLEET_TOPIC, self._reader)
-        if has_changed or self.view.next_offset != self._reader.position:
-            self.view = view_of(self._reader.latest, self._reader.position)
-            self._on_change(self.view)
-        return self.view
+        """Read the topic to its end, and return the view; it is made anew only where something changed.
+
+        One task reads at a time: a page that is applied after another task has read on sets the reader back,
+        and what it is set back by is skipped by the page that another task applies next.
+        """
+        async with self._reading:
+            has_changed = await self._compacted_log.catch_up(FLEET_TOPIC, self._reader)
+            if has_changed or self.view.next_offset != self._reader.position:
+                self.view = view_of(self._reader.latest, self._reader.position)
+                self._on_change(self.view)
+            return self.view
