Give the test of the rejection log a limiter of its own

Lines of its kind that other tests of the same process had caused counted against its window, so that it failed after them; alone it passed.

--- a/tests/application/test_rejection_log.py
+++ b/tests/application/test_rejection_log.py
@@ -14,6 +14,7 @@
 
 def test_new_rejections_are_logged_by_reason_and_a_few_seconds_apart(monkeypatch: pytest.MonkeyPatch) -> None:
     lines: list[tuple[str, dict[str, Field]]] = []
+    monkeypatch.setattr(log, "_limiter", log.Limiter())
     monkeypatch.setattr(log, "_write", lambda _kind, text, fields: lines.append((text, fields)))
     rejections = Counter({RejectReason.LIMIT: 2})
     rejection_log = RejectionLog()
