--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -5,8 +5,8 @@
 import asyncio
 import signal
 import traceback
-from collections.abc import Awaitable, Callable
-from concurrent.futures import ProcessPoolExecutor
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from concurrent.futures import Future, ProcessPoolExecutor
 from dataclasses import replace
 from pathlib import Path
 
@@ -45,7 +45,7 @@
 
 Scenario = Callable[[Fleet], Awaitable[None]]
 Run = tuple[str, str, int]
-Runs = dict[Run, tuple[str, str]]
+Runs = dict[Run, Future[tuple[str, str]]]
 BACKENDS = ("table", "etcd")
 MAX_PROCESSES = 5
 TIMEOUT_S = 400
@@ -178,21 +178,39 @@
 
 
 @pytest.fixture(scope="module")
-def runs(tmp_path_factory: pytest.TempPathFactory) -> Runs:
-    """Run all of them, some at a time, as most of it is waiting."""
-    folders = [str(tmp_path_factory.mktemp("fleet")) for _ in ALL_RUNS]
+def runs(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Iterator[Runs]:
+    """Begin all runs that the selected tests need, some at a time, as most of it is waiting."""
+    needed = _needed_runs(request.session.items)
     with ProcessPoolExecutor(MAX_PROCESSES) as pool:
-        return dict(zip(ALL_RUNS, pool.map(run_in_process, ALL_RUNS, folders), strict=True))
+        yield {run: pool.submit(run_in_process, run, str(tmp_path_factory.mktemp("fleet"))) for run in needed}
+
+
+def _needed_runs(items: Iterable[pytest.Item]) -> list[Run]:
+    """Return the runs that these tests look at: a test that is played alone takes the time of its own run."""
+    names: set[str] = set()
+    needed: set[Run] = set()
+    for item in items:
+        if not isinstance(item, pytest.Function) or item.path != Path(__file__):
+            continue
+        if item.get_closest_marker("skip") is not None:
+            continue
+        params = item.callspec.params
+        if "backend" in params:
+            needed.add((str(params["backend"]), str(params["name"]), int(str(params["seed"]))))
+        else:
+            names.add(str(params["name"]))
+    return [run for run in ALL_RUNS if run in needed or run[1] in names]
 
 
 @pytest.mark.parametrize(("backend", "name", "seed"), ALL_RUNS)
 def test_processes_keep_to_the_budget_whatever_breaks(runs: Runs, backend: str, name: str, seed: int) -> None:
-    assert not runs[backend, name, seed][1], runs[backend, name, seed][1]
+    _, error = runs[backend, name, seed].result()
+    assert not error, error
 
 
 @pytest.mark.parametrize("name", WITH_APPROVED_EXCHANGE)
 def test_the_whole_exchange_is_as_it_was_approved(runs: Runs, name: str, snapshot: SnapshotAssertion) -> None:
     """Approved on purpose: read the difference, then pytest --snapshot-update."""
-    exchanges = {runs[run][0] for run in ALL_RUNS if run[1] == name}
+    exchanges = {runs[run].result()[0] for run in ALL_RUNS if run[1] == name}
     assert len(exchanges) == 1, exchanges
     assert exchanges.pop() == snapshot
