Say how late the loop was where a shutdown before operators' calls takes too long

'quiesced before' took 1.22 s once, where 1.0 is wanted and 0.22 s are usual; the output could not tell a slow program from a held-up test. The checks are as they were.

--- a/tests/application/test_shutdown.py
+++ b/tests/application/test_shutdown.py
@@ -11,7 +11,7 @@
 
 from sabledyke.core import Answer, ClientRequest
 from tests.standins import Reader, Writer, ask, http, read_http
-from tests.support.loop_lag import loop_lag
+from tests.support.loop_lag import LoopLag, loop_lag
 from tests.support.server_rig import GET, INFO, PUT, SHORT_SHUTDOWN, Rig, hold_answers, play
 
 
@@ -199,7 +199,7 @@
 
 @pytest.mark.parametrize("what", ["again", "interrupted", "reload", "quiesced before", "resumed meanwhile"])
 def test_operators_calls_and_signals_during_a_shutdown(what: str) -> None:
-    async def scenario(rig: Rig) -> None:
+    async def scenario(rig: Rig, lag: LoopLag) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         await say(writer, 0)
         assert (await read_http(reader))[0].split()[1] == "200"
@@ -239,7 +239,12 @@
         assert not rig.server.takes_clients
         await end
         took = asyncio.get_running_loop().time() - began
-        assert took < {"interrupted": 1.0, "quiesced before": 1.0}.get(what, 3.0)
-        assert took > 1.2 or what in ("interrupted", "quiesced before")
+        record = f"the loop was late by up to {lag.longest_s:.3f} s; {rig.server.core.metrics.answers}"
+        assert took < {"interrupted": 1.0, "quiesced before": 1.0}.get(what, 3.0), record
+        assert took > 1.2 or what in ("interrupted", "quiesced before"), record
 
-    play(scenario)
+    async def watched(rig: Rig) -> None:
+        async with loop_lag() as lag:
+            await scenario(rig, lag)
+
+    play(watched)
