--- a/sabledyke/core/core.py
+++ b/sabledyke/core/core.py
@@ -9,21 +9,20 @@
 
 import traceback
 from collections.abc import Callable
-from math import inf
 
 from sabledyke import log
+from sabledyke.core.final_answers import SHUTDOWN_POLL_MS, FinalAnswers
 from sabledyke.core.known_nodes import listed_entry, takes_attempt, update_nodes
 from sabledyke.core.open_request import (
     ANSWER_GUARD_MS,
-    GUARD_POSTPONEMENT_MS,
     OpenRequest,
     SentAttempt,
     policy_request,
 )
 from sabledyke.core.timers import TimerQueue
 from sabledyke.core.types import (
+    EXPIRED_UNSENT,
     Answer,
-    AnswerStatus,
     AttemptResult,
     ClientRequest,
     EndpointSource,
@@ -39,7 +38,6 @@
     FetchList,
     Log,
     Reject,
-    RejectReason,
     SetTimer,
     StartAttempt,
     WatchList,
@@ -56,8 +54,6 @@
 from sabledyke.policy.scheduler import Scheduler
 from sabledyke.policy.settings import Settings
 
-SHUTDOWN_POLL_MS = 10.0  # between looks at what still came, once the time of a shutdown is over
-
 
 class Core:
     """Feeds the policy batches of events and carries out its actions.
@@ -98,10 +94,14 @@
         self._wake = wake
         self._events: list[Event] = []
         self._timers = TimerQueue()
-        self._requests: dict[int, OpenRequest] = {}
+        self._answers = FinalAnswers(
+            self.metrics,
+            self._timers,
+            settings.max_retry_after_ms,
+            lambda request_id: self._add_event(ClientDisconnected(request_id)),
+        )
+        self._requests = self._answers.requests
         self.last_request_id = 0
-        self._answer_all_by_ms = inf
-        self._available_again_at_ms = inf
 
     @property
     def unanswered(self) -> int:
@@ -116,6 +116,7 @@
     def apply_settings(self, settings: Settings) -> None:
         """Apply new settings; requests that were accepted keep their class and deadline."""
         self.settings = settings
+        self._answers.max_retry_after_ms = settings.max_retry_after_ms
         self.scheduler.apply_settings(settings)
 
     def shut_down_by(self, now_ms: float, answer_by_ms: float, available_again_at_ms: float) -> None:
@@ -129,12 +130,8 @@
             answer_by_ms: When the last answer is given.
             available_again_at_ms: When rejected clients may expect a server here again.
         """
-        self._answer_all_by_ms = min(self._answer_all_by_ms, answer_by_ms)
-        self._available_again_at_ms = available_again_at_ms
-        self.scheduler.shut_down_by(now_ms, self._answer_all_by_ms)
-        for request in self._requests.values():
-            request.deadline_ms = min(request.deadline_ms, self._answer_all_by_ms)
-        self._timers.add_shutdown_poll(self._answer_all_by_ms)
+        self._answers.shut_down_by(answer_by_ms, available_again_at_ms)
+        self.scheduler.shut_down_by(now_ms, self._answers.answer_all_by_ms)
 
     def submit(self, now_ms: float, client_request: ClientRequest, done: Callable[[Answer], None]) -> int:
         """Accept a request.
@@ -152,7 +149,7 @@
         self._requests[request_id] = OpenRequest(
             client_request=client_request,
             request_class=self.settings.classes[client_request.class_index],
-            deadline_ms=min(now_ms + client_request.remaining_ms, self._answer_all_by_ms),
+            deadline_ms=min(now_ms + client_request.remaining_ms, self._answers.answer_all_by_ms),
             done=done,
             first_execution=client_request.possible_execution,
         )
@@ -162,10 +159,7 @@
 
     def on_client_disconnected(self, request_id: int) -> None:
         """The client has left: no answer is due any more."""
-        request = self._requests.get(request_id)
-        if request is not None and not request.answered:
-            request.answered = True
-            self._close_request(request_id)
+        self._answers.on_client_disconnected(request_id)
 
     def on_attempt_completed(self, now_ms: float, request_id: int, number: int, end: AttemptResult) -> None:
         """Process the one outcome of an attempt."""
@@ -179,7 +173,7 @@
         if end.may_have_run and request.first_execution is None:
             request.first_execution = PossibleExecution(*attempt)
         if end.outcome is Outcome.OK and not request.answered:
-            self._answer(request_id, Answer(AnswerStatus.SERVED, end.body))
+            self._answers.serve(request_id, end.body)
         self._add_event(
             AttemptCompleted(
                 request_id,
@@ -193,7 +187,7 @@
                 end.load_report,
             )
         )
-        self._forget_if_finished(request_id)
+        self._answers.forget_if_finished(request_id)
 
     def on_endpoint_list(self, update: EndpointList) -> list[NodeId]:
         """Process an update of the endpoint list; return the nodes that were removed."""
@@ -234,10 +228,9 @@
             self._timers.add_shutdown_poll(now_ms + SHUTDOWN_POLL_MS)
         for action in self._decide(now_ms):
             self._carry_out(now_ms, action)
-        if now_ms >= self._answer_all_by_ms:
-            self._answer_all(now_ms)
+        self._answers.answer_rest(now_ms)
         for request_id in due.guarded_requests:
-            self._fail_if_unanswered(now_ms, request_id)
+            self._answers.fail_if_unanswered(now_ms, request_id)
 
     def _decide(self, now_ms: float) -> list[Action]:
         events = self._events
@@ -256,11 +249,9 @@
             case StartAttempt(request_id, node, timeout_ms):
                 self._start_attempt(now_ms, request_id, node, timeout_ms)
             case Reject(request_id, after_ms):
-                retry_after_ms = self._retry_after_ms(now_ms, after_ms)
-                answer = Answer(AnswerStatus.REJECTED, retry_after_ms=retry_after_ms)
-                self._finish(request_id, answer, action.reason)
+                self._answers.reject(now_ms, request_id, after_ms, action.reason)
             case Fail(request_id):
-                self._finish(request_id, Answer(AnswerStatus.FAILED), action.reason)
+                self._answers.fail(request_id, action.reason)
             case CancelAttempt(request_id, number):
                 self._cancel_attempt(request_id, number)
             case SetTimer(token, delay_ms):
@@ -269,17 +260,13 @@
                 self.transport.close_idle(node)
             case Log(text):
                 log.emit("module", text)
-            case WatchList() | FetchList():
-                self._use_discovery(action)
+            case WatchList(on):
+                self.lists.watch(on=on)
+            case FetchList():
+                self.lists.fetch()
             case _:
                 report_violation("the module asks only for what is allowed here", repr(action))
 
-    def _use_discovery(self, action: WatchList | FetchList) -> None:
-        if isinstance(action, WatchList):
-            self.lists.watch(on=action.on)
-        else:
-            self.lists.fetch()
-
     def _start_attempt(self, now_ms: float, request_id: int, node: NodeId, timeout_ms: float) -> None:
         request = self._requests.get(request_id)
         is_open = request is not None and not request.answered
@@ -296,9 +283,7 @@
         remaining_ms = request.attempt_time_ms(now_ms)
         is_allowed = may_run and entry.state is not NodeState.GONE and number < self.settings.max_attempts
         if not is_allowed or remaining_ms <= 0:
-            self.on_attempt_completed(
-                now_ms, request_id, number, AttemptResult(Outcome.EXPIRED, may_have_run=False)
-            )
+            self.on_attempt_completed(now_ms, request_id, number, EXPIRED_UNSENT)
             return
         limit_ms = min(timeout_ms, remaining_ms) if timeout_ms else remaining_ms
         self.transport.start(request_id, number, node, request.client_request, limit_ms)
@@ -308,68 +293,6 @@
         if request is not None and number in request.in_flight:
             self.transport.cancel(request_id, number)
 
-    def _answer_all(self, now_ms: float) -> None:
-        """Answer every request that still waits, as the program ends."""
-        unanswered = [number for number, request in self._requests.items() if not request.answered]
-        for request_id in unanswered:
-            may_be_rejected = self._requests[request_id].may_be_rejected
-            status = AnswerStatus.REJECTED if may_be_rejected else AnswerStatus.FAILED
-            answer = Answer(status, retry_after_ms=self._retry_after_ms(now_ms, 0.0))
-            self._answer(request_id, answer, RejectReason.SHUTDOWN)
-            self._close_request(request_id)
-
-    def _fail_if_unanswered(self, now_ms: float, request_id: int) -> None:
-        """Answer a request whose time is over.
-
-        Guards against a policy that keeps silent: the client still gets its one answer in time. Attempts end
-        before; where one is still in flight the program was held up, and its outcome, which the policy
-        answers by, is about to be reported.
-        """
-        request = self._requests.get(request_id)
-        if request is None or request.answered:
-            return
-        if request.in_flight and not request.guard_postponed:
-            request.guard_postponed = True
-            self._timers.add_answer_guard(now_ms + GUARD_POSTPONEMENT_MS, request_id)
-            return
-        self._answer(request_id, Answer(AnswerStatus.FAILED), RejectReason.GUARD)
-        self._close_request(request_id)
-        report_violation("every request is answered by the module in time", f"request {request_id}")
-
-    def _retry_after_ms(self, now_ms: float, advised_ms: float) -> float:
-        """Return the policy's advice, or in a shutdown when a server is here again, if that is later."""
-        if self._available_again_at_ms == inf:
-            return advised_ms
-        back_ms = self._available_again_at_ms - now_ms
-        if back_ms <= advised_ms:
-            return advised_ms
-        return min(back_ms, self.settings.max_retry_after_ms)
-
-    def _finish(self, request_id: int, answer: Answer, reason: RejectReason) -> None:
-        request = self._requests.get(request_id)
-        if request is not None and not request.answered:
-            self._answer(request_id, answer, reason)
-            self._forget_if_finished(request_id)
-
-    def _answer(self, request_id: int, answer: Answer, reason: RejectReason | None = None) -> None:
-        request = self._requests[request_id]
-        check(not request.answered, "one final answer", f"request {request_id}")
-        request.answered = True
-        self.metrics.count_answer(answer.status.value, request.request_class.name)
-        if reason is not None:
-            self.metrics.rejections[reason] += 1
-        request.done(answer)
-
-    def _close_request(self, request_id: int) -> None:
-        """Tell the policy that a request is over which it did not end itself."""
-        self._add_event(ClientDisconnected(request_id))
-        self._forget_if_finished(request_id)
-
-    def _forget_if_finished(self, request_id: int) -> None:
-        request = self._requests.get(request_id)
-        if request is not None and request.finished:
-            del self._requests[request_id]
-
     def _add_event(self, event: Event) -> None:
         if not self._events:
             self._wake()
--- a/sabledyke/core/types.py
+++ b/sabledyke/core/types.py
@@ -110,6 +110,9 @@
     held_back_ms: float = 0.0
 
 
+EXPIRED_UNSENT = AttemptResult(Outcome.EXPIRED, may_have_run=False)
+
+
 class Transport(Protocol):
     """Carries attempts to nodes.
 
--- a/tests/net/test_request_interruptions.py
+++ b/tests/net/test_request_interruptions.py
@@ -96,7 +96,7 @@
         await until(lambda: rig.server.fronts[0].shutting_down)
         await line.reach(step)
         Scripted.current = ShutdownPhase.COMPLETED
-        rig.server.core._answer_all_by_ms = -1e9  # all that is owed is due now
+        rig.server.core._answers.answer_all_by_ms = -1e9  # all that is owed is due now
         said = await line.answer()
         if step in (Step.READ, Step.IN_WORK):
             assert said.startswith((b"HTTP/1.1 503", b"HTTP/1.1 200"))
