--- a/sabledyke/store/intent_table.py
+++ b/sabledyke/store/intent_table.py
@@ -10,47 +10,24 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 from sabledyke.policy.retry import may_repeat
 from sabledyke.policy.settings import RequestClass
 from sabledyke.store.effects import AttemptId, BlockAttempt, Effect, ExpireAttempt, SendAttempt
 from sabledyke.store.settlements import merge_settlements, take_states
+from sabledyke.store.tracked_writes import TrackedWrite, WaitingAttempt
 from sabledyke.store.types import Intent, RecordedWrite, SendRecord, Settlement, WriteState
 
 EVICT_INTERVAL_MS = 1000.0  # between searches for writes that memory need not hold any longer
 
 
-@dataclass(slots=True)
-class _Write:
-    """A keyed write that is open, or one whose earlier send may have run."""
-
-    first_send: SendRecord
-    retain_until_ms: float  # in memory; the database retains it longer
-    durable: bool = False
-    may_have_run: bool = False
-    in_flight: int = 0
-
-    @property
-    def was_sent(self) -> bool:
-        return self.may_have_run or self.in_flight > 0
-
-
-@dataclass(slots=True, frozen=True)
-class _WaitingAttempt:
-    name: str
-    send: SendRecord
-    deadline_ms: float
-    request_class: RequestClass
-
-
 class IntentTable:
     """Keyed writes by name, and the attempts that wait for their intents."""
 
     def __init__(self) -> None:
-        self._writes: dict[str, _Write] = {}
+        self._writes: dict[str, TrackedWrite] = {}
         self._unrecorded: dict[str, Intent] = {}
-        self._waiting: dict[AttemptId, _WaitingAttempt] = {}
+        self._waiting: dict[AttemptId, WaitingAttempt] = {}
         self._settlements: dict[str, WriteState] = {}
         self._evicted_at_ms = 0.0
 
@@ -77,7 +54,9 @@
     def load(self, writes: Iterable[tuple[str, RecordedWrite]], retain_until_ms: float) -> None:
         """Add the writes of earlier incarnations, each of which may have run."""
         for name, write in writes:
-            self._writes[name] = _Write(write.first_send, retain_until_ms, durable=True, may_have_run=True)
+            self._writes[name] = TrackedWrite(
+                write.first_send, retain_until_ms, durable=True, may_have_run=True
+            )
 
     def earlier_send(self, name: str) -> SendRecord | None:
         """Return the send of this write that may have run already, as far as memory has it."""
@@ -115,7 +94,7 @@
         if write is None or write.durable:  # the first send, or one that never ran and goes elsewhere now
             retained_ms = request_class.deduplication_window_ms + request_class.deadline_ms
             self._begin(name, send, now_ms + retained_ms)
-        self._waiting[attempt] = _WaitingAttempt(name, send, deadline_ms, request_class)
+        self._waiting[attempt] = WaitingAttempt(name, send, deadline_ms, request_class)
         return []
 
     def on_attempt_cancelled(self, attempt: AttemptId) -> bool:
@@ -261,12 +240,14 @@
     # Helpers.
 
     def _begin(self, name: str, send: SendRecord, retain_until_ms: float) -> None:
-        self._writes[name] = _Write(send, retain_until_ms)
+        self._writes[name] = TrackedWrite(send, retain_until_ms)
         self._unrecorded[name] = Intent(name, send)
         if self._settlements.get(name) is WriteState.NEVER:
             del self._settlements[name]
 
-    def _release(self, now_ms: float, attempt: AttemptId, waiting: _WaitingAttempt, write: _Write) -> Effect:
+    def _release(
+        self, now_ms: float, attempt: AttemptId, waiting: WaitingAttempt, write: TrackedWrite
+    ) -> Effect:
         if now_ms >= waiting.deadline_ms:
             return ExpireAttempt(attempt)
         if not self._may_repeat(now_ms, write, waiting.request_class, waiting.send):
@@ -275,7 +256,7 @@
         write.in_flight += 1
         return SendAttempt(attempt)
 
-    def _adopt_existing(self, write: _Write, intent: Intent, existing: RecordedWrite | None) -> None:
+    def _adopt_existing(self, write: TrackedWrite, intent: Intent, existing: RecordedWrite | None) -> None:
         if existing is None or existing.state is WriteState.NEVER:  # it changed meanwhile: ask once more
             write.durable = False
             self._unrecorded[intent.name] = intent
@@ -297,6 +278,8 @@
             self._settlements[name] = WriteState.NEVER
 
     @staticmethod
-    def _may_repeat(now_ms: float, write: _Write, request_class: RequestClass, send: SendRecord) -> bool:
+    def _may_repeat(
+        now_ms: float, write: TrackedWrite, request_class: RequestClass, send: SendRecord
+    ) -> bool:
         first = write.first_send
         return may_repeat(request_class, first.sent_at_ms, first.place, now_ms, send.place)
--- a/sabledyke/wire.py
+++ b/sabledyke/wire.py
@@ -12,9 +12,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 from math import isfinite
-from typing import Any
 
-from sabledyke.errors import SabledykeError
 from sabledyke.policy.events import (
     AnswerStarted,
     AttemptCompleted,
@@ -29,6 +27,8 @@
 from sabledyke.policy.nodes import EndpointList, ListKind, NodeEntry, NodeState
 from sabledyke.policy.settings import Settings
 from sabledyke.settings import SettingsError, build
+from sabledyke.wire_reader import RecordReader
+from sabledyke.wire_reader import WireError as WireError
 
 MAX_FRAME_BYTES = 1 << 30
 HEADER = struct.Struct(">IdI")  # bytes of the frame, time in ms, number of records
@@ -69,13 +69,6 @@
 _PEER_MESSAGE = struct.Struct(">IH")  # sender, bytes
 
 
-class WireError(SabledykeError):
-    """The input is not a frame of this wire; the text says what is wrong."""
-
-    code = "wire"
-    remedy = "nothing in service: it is the simulator's"
-
-
 @dataclass(slots=True, frozen=True)
 class Started:
     """An instance starts with these settings and this seed."""
@@ -113,12 +106,12 @@
         if length != len(frame):
             raise WireError(f"frame says {length} bytes and has {len(frame)}")
         try:
-            events = list(self._events(_RecordReader(frame, HEADER.size), record_count))
+            events = list(self._events(RecordReader(frame, HEADER.size), record_count))
         except struct.error as error:
             raise WireError(f"record runs past the end of its frame: {error}") from None
         return now_ms, events
 
-    def _events(self, reader: _RecordReader, record_count: int) -> Iterator[tuple[int, InstanceEvent]]:
+    def _events(self, reader: RecordReader, record_count: int) -> Iterator[tuple[int, InstanceEvent]]:
         instance: int | None = None
         for _ in range(record_count):
             code = reader.code()
@@ -137,7 +130,7 @@
         if reader.remaining:
             raise WireError(f"{reader.remaining} bytes left over after the last record")
 
-    def _read_node_list(self, reader: _RecordReader) -> None:
+    def _read_node_list(self, reader: RecordReader) -> None:
         number, node_count = reader.unpack(_NODE_LIST)
         size = node_count * _NODE.size
         if size > reader.remaining:
@@ -145,7 +138,7 @@
         entries = _NODE.iter_unpack(reader.read_bytes(size))
         self._node_lists[number] = tuple(_node_entry(*fields) for fields in entries)
 
-    def _endpoint_list(self, reader: _RecordReader) -> EndpointList:
+    def _endpoint_list(self, reader: RecordReader) -> EndpointList:
         number, version, kind_code = reader.unpack(_ENDPOINT_LIST)
         if kind_code >= len(LIST_KINDS):
             raise WireError(f"unknown kind of list {kind_code}")
@@ -169,48 +162,7 @@
         raise WireError(str(error)) from None
 
 
-class _RecordReader:
-    """Reads the fields of records one after the other."""
-
-    __slots__ = ("_data", "_offset")
-
-    def __init__(self, data: bytes, offset: int) -> None:
-        self._data = data
-        self._offset = offset
-
-    @property
-    def remaining(self) -> int:
-        """Bytes that have not been read."""
-        return len(self._data) - self._offset
-
-    def code(self) -> int:
-        """Read the code that a record begins with."""
-        if self._offset >= len(self._data):
-            raise WireError("fewer records than the header counts")
-        code = self._data[self._offset]
-        self._offset += 1
-        return code
-
-    def unpack(self, layout: struct.Struct) -> tuple[Any, ...]:
-        """Read the fields of a layout."""
-        fields = layout.unpack_from(self._data, self._offset)
-        self._offset += layout.size
-        return fields
-
-    def read_bytes(self, size: int) -> bytes:
-        """Read so many bytes."""
-        if size > self.remaining:
-            raise WireError(f"field of {size} bytes runs past the end of its frame")
-        start = self._offset
-        self._offset += size
-        return self._data[start : self._offset]
-
-    def floats(self, count: int) -> tuple[float, ...]:
-        """Read so many numbers."""
-        return self.unpack(struct.Struct(f">{count}f"))
-
-
-def _request(reader: _RecordReader) -> Request:
+def _request(reader: RecordReader) -> Request:
     (
         request_id,
         class_index,
@@ -240,7 +192,7 @@
     )
 
 
-def _attempt_completed(reader: _RecordReader) -> AttemptCompleted:
+def _attempt_completed(reader: RecordReader) -> AttemptCompleted:
     (
         request_id,
         used_percent,
@@ -266,23 +218,23 @@
     )
 
 
-def _probe_result(reader: _RecordReader) -> ProbeResult:
+def _probe_result(reader: RecordReader) -> ProbeResult:
     node_id, outcome, elapsed_ms, load_count = reader.unpack(_PROBE_RESULT)
     load_report = reader.floats(load_count)
     return ProbeResult(node_id, _outcome(outcome), elapsed_ms, load_report)
 
 
-def _started(reader: _RecordReader) -> Started:
+def _started(reader: RecordReader) -> Started:
     seed, size = reader.unpack(_STARTED)
     return Started(reader.read_bytes(size).decode("utf-8", "replace"), seed)
 
 
-def _peer_message(reader: _RecordReader) -> PeerMessage:
+def _peer_message(reader: RecordReader) -> PeerMessage:
     sender, size = reader.unpack(_PEER_MESSAGE)
     return PeerMessage(sender, reader.read_bytes(size))
 
 
-_EVENT_READERS: dict[int, Callable[[_RecordReader], InstanceEvent]] = {
+_EVENT_READERS: dict[int, Callable[[RecordReader], InstanceEvent]] = {
     RecordCode.PEER_MESSAGE: _peer_message,
     RecordCode.REQUEST: _request,
     RecordCode.CLIENT_DISCONNECTED: lambda reader: ClientDisconnected(*reader.unpack(_U32)),
--- /dev/null
+++ b/sabledyke/wire_reader.py
@@ -0,0 +1,56 @@
+"""Reads the records of the simulator's frames, field by field, within the bounds of their frame."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+from sabledyke.errors import SabledykeError
+
+
+class WireError(SabledykeError):
+    """The input is not a frame of this wire; the text says what is wrong."""
+
+    code = "wire"
+    remedy = "nothing in service: it is the simulator's"
+
+
+class RecordReader:
+    """Reads the fields of records one after the other."""
+
+    __slots__ = ("_data", "_offset")
+
+    def __init__(self, data: bytes, offset: int) -> None:
+        self._data = data
+        self._offset = offset
+
+    @property
+    def remaining(self) -> int:
+        """Bytes that have not been read."""
+        return len(self._data) - self._offset
+
+    def code(self) -> int:
+        """Read the code that a record begins with."""
+        if self._offset >= len(self._data):
+            raise WireError("fewer records than the header counts")
+        code = self._data[self._offset]
+        self._offset += 1
+        return code
+
+    def unpack(self, layout: struct.Struct) -> tuple[Any, ...]:
+        """Read the fields of a layout."""
+        fields = layout.unpack_from(self._data, self._offset)
+        self._offset += layout.size
+        return fields
+
+    def read_bytes(self, size: int) -> bytes:
+        """Read so many bytes."""
+        if size > self.remaining:
+            raise WireError(f"field of {size} bytes runs past the end of its frame")
+        start = self._offset
+        self._offset += size
+        return self._data[start : self._offset]
+
+    def floats(self, count: int) -> tuple[float, ...]:
+        """Read so many numbers."""
+        return self.unpack(struct.Struct(f">{count}f"))
