--- a/sabledyke/lease/holder.py
+++ b/sabledyke/lease/holder.py
@@ -16,15 +16,16 @@
 from dataclasses import replace
 from math import inf
 
+from sabledyke.lease.holder_release import abandon, give_up, is_act_out, release, send, stand_back
 from sabledyke.lease.holder_state import (
     HOLDING_PHASES,
     ActStatus,
     HolderEvent,
     HolderState,
     Phase,
-    SendRequest,
     Transition,
 )
+from sabledyke.lease.holder_watch import may_acquire, next_check_at_ms
 from sabledyke.lease.types import (
     Acquire,
     Granted,
@@ -33,13 +34,11 @@
     LeaseRequest,
     LeaseStatus,
     LeaseTimes,
-    Release,
     Renew,
     Renewed,
 )
 
 FIRST_BACKOFF_RENEW_INTERVALS = 1 / 16  # doubled at each failure, up to one renew interval
-ACQUIRE_JITTER_RENEW_INTERVALS = 1 / 8
 MAX_COUNTED_FAILURES = 16
 
 
@@ -56,13 +55,6 @@
     return state.phase is Phase.HOLDING and may_act(state, now_ms) and not is_act_out(state, now_ms)
 
 
-def is_act_out(state: HolderState, now_ms: float) -> bool:
-    """Return whether an act counts as running now."""
-    if state.act_status is ActStatus.UNRESOLVED:
-        return now_ms < state.act_covered_until_ms
-    return state.act_status is ActStatus.RUNNING
-
-
 def next_tick_at_ms(state: HolderState, times: LeaseTimes) -> float:
     """Return when ``on_tick`` must be called if nothing else comes before; inf for never."""
     if state.phase is Phase.STOPPED:
@@ -94,7 +86,7 @@
         state = _record_failure(state, times, now_ms, jitter)
     if now_ms < state.next_request_at_ms:
         return Transition(state, [], events)
-    state, requests = _send(state, _next_request(state, times, now_ms), now_ms)
+    state, requests = send(state, _next_request(state, times, now_ms), now_ms)
     return Transition(state, requests, events)
 
 
@@ -116,11 +108,11 @@
             extended = _extend(state, times, now_ms)
             if not recalled or state.phase is not Phase.HOLDING:
                 return extended
-            return _give_up(extended.state, times, now_ms, HolderEvent.RECALLED)
+            return give_up(extended.state, times, now_ms, HolderEvent.RECALLED)
         case _, LeaseStatus():
             return _on_status(state, times, now_ms, reply, jitter)
-    # A reply to another kind of request is as good as none.
-    return Transition(_record_failure(state, times, now_ms, jitter), [], [])
+        case _:  # a reply to another kind of request is as good as none
+            return Transition(_record_failure(state, times, now_ms, jitter), [], [])
 
 
 def on_failure(
@@ -159,8 +151,8 @@
     if state.phase is Phase.HOLDING:
         return Transition(state, [], [])
     if is_act_out(state, now_ms):
-        return Transition(_abandon(state, times, now_ms), [], [HolderEvent.ABANDONED])
-    return _release(state, times, now_ms, HolderEvent.RELEASED)
+        return Transition(abandon(state, times, now_ms), [], [HolderEvent.ABANDONED])
+    return release(state, times, now_ms, HolderEvent.RELEASED)
 
 
 def on_stop(state: HolderState, times: LeaseTimes, now_ms: float) -> Transition:
@@ -168,7 +160,7 @@
     if state.phase not in HOLDING_PHASES:
         stopped = replace(state, phase=Phase.STOPPED, acts_until_ms=-inf, acting=False, pending_request=None)
         return Transition(stopped, [], [])
-    return _give_up(replace(state, phase=Phase.STOPPING), times, now_ms, HolderEvent.RELEASED)
+    return give_up(replace(state, phase=Phase.STOPPING), times, now_ms, HolderEvent.RELEASED)
 
 
 def on_fenced(state: HolderState, times: LeaseTimes, now_ms: float, token: int) -> Transition:
@@ -178,7 +170,7 @@
     """
     if state.phase is not Phase.HOLDING or state.token != token:
         return Transition(state, [], [])
-    return _give_up(state, times, now_ms, HolderEvent.FENCED)
+    return give_up(state, times, now_ms, HolderEvent.FENCED)
 
 
 def _expire(state: HolderState, times: LeaseTimes, now_ms: float) -> tuple[HolderState, list[HolderEvent]]:
@@ -191,8 +183,8 @@
     if state.acting:
         state = replace(state, acting=False)
         events.append(HolderEvent.EXPIRED)
-    if state.phase in HOLDING_PHASES and state.phase is not Phase.HOLDING:
-        state = _abandon(state, times, now_ms)
+    if state.gives_up:
+        state = abandon(state, times, now_ms)
         events.append(HolderEvent.ABANDONED)
     return state, events
 
@@ -204,33 +196,11 @@
             # would be nobody's to use.
             return Inspect()
         return Renew(state.token)
-    if state.seen_version is not None and _may_acquire(state, times, now_ms):
+    if state.seen_version is not None and may_acquire(state, times, now_ms):
         return Acquire(state.seen_version)
     return Inspect()
 
 
-def _may_acquire(state: HolderState, times: LeaseTimes, now_ms: float) -> bool:
-    """It was free, or was seen unchanged for a whole lease (where the authority does not expire it)."""
-    if now_ms < state.acquire_not_before_ms:
-        return False
-    if state.seen_free:
-        return True
-    unchanged_ms = now_ms - state.unchanged_since_ms
-    return not times.authority_tracks_expiry and unchanged_ms >= _expiry_wait_ms(state, times)
-
-
-def _expiry_wait_ms(state: HolderState, times: LeaseTimes) -> float:
-    """The holder's own time where that is longer, as new settings reach the instances one by one."""
-    return max(times.ttl_ms, state.seen_ttl_ms)
-
-
-def _send(state: HolderState, request: LeaseRequest, now_ms: float) -> tuple[HolderState, list[SendRequest]]:
-    state = replace(
-        state, pending_request=request, request_number=state.request_number + 1, requested_at_ms=now_ms
-    )
-    return state, [SendRequest(state.request_number, request)]
-
-
 def _record_failure(state: HolderState, times: LeaseTimes, now_ms: float, jitter: float) -> HolderState:
     first_wait_ms = times.renew_interval_ms * FIRST_BACKOFF_RENEW_INTERVALS
     wait_ms = min(times.renew_interval_ms, first_wait_ms * 2**state.consecutive_failures)
@@ -266,43 +236,6 @@
     return Transition(state, [], [event] if acting else [])
 
 
-def _give_up(state: HolderState, times: LeaseTimes, now_ms: float, reason: HolderEvent) -> Transition:
-    """Release the lease, or begin no act any more and wait for the end of the one that is out."""
-    if not is_act_out(state, now_ms):
-        return _release(state, times, now_ms, reason)
-    if state.act_status is ActStatus.UNRESOLVED:
-        return Transition(_abandon(state, times, now_ms), [], [HolderEvent.ABANDONED])
-    if state.phase is Phase.HOLDING:
-        state = replace(state, phase=Phase.GIVING_UP)
-    return Transition(state, [], [HolderEvent.WAITING_FOR_ACT])
-
-
-def _release(state: HolderState, times: LeaseTimes, now_ms: float, reason: HolderEvent) -> Transition:
-    """Stop acting and release the lease."""
-    state, requests = _send(_stand_back(state, times, now_ms), Release(state.token), now_ms)
-    return Transition(state, requests, [reason])
-
-
-def _abandon(state: HolderState, times: LeaseTimes, now_ms: float) -> HolderState:
-    """Stop acting and leave the lease to expire, as an act may still run under it."""
-    return replace(_stand_back(state, times, now_ms), pending_request=None, abandoned_token=state.token)
-
-
-def _stand_back(state: HolderState, times: LeaseTimes, now_ms: float) -> HolderState:
-    """Stop acting, and leave the others one lease's time to acquire it."""
-    is_stopping = state.phase is Phase.STOPPING
-    return replace(
-        state,
-        phase=Phase.STOPPED if is_stopping else Phase.WATCHING,
-        acts_until_ms=-inf,
-        acting=False,
-        seen_version=None,
-        seen_free=False,
-        next_request_at_ms=now_ms,
-        acquire_not_before_ms=now_ms + times.ttl_ms,
-    )
-
-
 def _on_status(
     state: HolderState, times: LeaseTimes, now_ms: float, status: LeaseStatus, jitter: float
 ) -> Transition:
@@ -311,7 +244,7 @@
         return Transition(_resume_holding(state, now_ms, status), [], [])
     events = [HolderEvent.LOST] if state.phase in HOLDING_PHASES else []
     if state.phase is Phase.STOPPING:
-        return Transition(_stand_back(state, times, now_ms), [], events)
+        return Transition(stand_back(state, times, now_ms), [], events)
     since_ms = state.unchanged_since_ms if status.version == state.seen_version else now_ms
     state = replace(
         state,
@@ -323,7 +256,7 @@
         unchanged_since_ms=since_ms,
         seen_ttl_ms=status.ttl_ms,
     )
-    next_at_ms = _next_check_at_ms(state, times, now_ms, jitter)
+    next_at_ms = next_check_at_ms(state, times, now_ms, jitter)
     return Transition(replace(state, next_request_at_ms=next_at_ms), [], events)
 
 
@@ -341,14 +274,3 @@
         next_request_at_ms=now_ms,
         seen_version=None,
     )
-
-
-def _next_check_at_ms(state: HolderState, times: LeaseTimes, now_ms: float, jitter: float) -> float:
-    """When a watcher sends its next request, after it has seen the lease at ``now_ms``."""
-    if state.seen_free and now_ms >= state.acquire_not_before_ms:
-        return now_ms + jitter * times.renew_interval_ms * ACQUIRE_JITTER_RENEW_INTERVALS
-    next_at_ms = now_ms + times.renew_interval_ms * (0.5 + jitter / 2)
-    if times.authority_tracks_expiry:
-        return next_at_ms
-    expires_at_ms = state.unchanged_since_ms + _expiry_wait_ms(state, times)
-    return max(now_ms, min(next_at_ms, expires_at_ms))
--- /dev/null
+++ b/sabledyke/lease/holder_release.py
@@ -0,0 +1,64 @@
+"""How a holder gives its lease up: released where no act is out, else kept for the act or left to expire.
+
+Pure functions of the holder's state; ``holder`` decides when.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import inf
+
+from sabledyke.lease.holder_state import ActStatus, HolderEvent, HolderState, Phase, SendRequest, Transition
+from sabledyke.lease.types import LeaseRequest, LeaseTimes, Release
+
+
+def is_act_out(state: HolderState, now_ms: float) -> bool:
+    """Return whether an act counts as running now."""
+    if state.act_status is ActStatus.UNRESOLVED:
+        return now_ms < state.act_covered_until_ms
+    return state.act_status is ActStatus.RUNNING
+
+
+def give_up(state: HolderState, times: LeaseTimes, now_ms: float, reason: HolderEvent) -> Transition:
+    """Release the lease, or begin no act any more and wait for the end of the one that is out."""
+    if not is_act_out(state, now_ms):
+        return release(state, times, now_ms, reason)
+    if state.act_status is ActStatus.UNRESOLVED:
+        return Transition(abandon(state, times, now_ms), [], [HolderEvent.ABANDONED])
+    if state.phase is Phase.HOLDING:
+        state = replace(state, phase=Phase.GIVING_UP)
+    return Transition(state, [], [HolderEvent.WAITING_FOR_ACT])
+
+
+def release(state: HolderState, times: LeaseTimes, now_ms: float, reason: HolderEvent) -> Transition:
+    """Stop acting and release the lease."""
+    state, requests = send(stand_back(state, times, now_ms), Release(state.token), now_ms)
+    return Transition(state, requests, [reason])
+
+
+def abandon(state: HolderState, times: LeaseTimes, now_ms: float) -> HolderState:
+    """Stop acting and leave the lease to expire, as an act may still run under it."""
+    return replace(stand_back(state, times, now_ms), pending_request=None, abandoned_token=state.token)
+
+
+def stand_back(state: HolderState, times: LeaseTimes, now_ms: float) -> HolderState:
+    """Stop acting, and leave the others one lease's time to acquire it."""
+    is_stopping = state.phase is Phase.STOPPING
+    return replace(
+        state,
+        phase=Phase.STOPPED if is_stopping else Phase.WATCHING,
+        acts_until_ms=-inf,
+        acting=False,
+        seen_version=None,
+        seen_free=False,
+        next_request_at_ms=now_ms,
+        acquire_not_before_ms=now_ms + times.ttl_ms,
+    )
+
+
+def send(state: HolderState, request: LeaseRequest, now_ms: float) -> tuple[HolderState, list[SendRequest]]:
+    """Send a request under the next number, in place of one that waits for its reply."""
+    state = replace(
+        state, pending_request=request, request_number=state.request_number + 1, requested_at_ms=now_ms
+    )
+    return state, [SendRequest(state.request_number, request)]
--- a/sabledyke/lease/holder_state.py
+++ b/sabledyke/lease/holder_state.py
@@ -98,6 +98,11 @@
     acquire_not_before_ms: float = -inf
     consecutive_failures: int = 0
 
+    @property
+    def gives_up(self) -> bool:
+        """Whether it holds the lease for the act that is out alone, and begins no other."""
+        return self.phase in HOLDING_PHASES and self.phase is not Phase.HOLDING
+
 
 class Transition(NamedTuple):
     """The result of an input: the new state, and what is to be carried out in this order."""
--- a/tests/lease/test_model.py
+++ b/tests/lease/test_model.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sabledyke.lease import holder
+from sabledyke.lease import holder, holder_release
 from sabledyke.testbed.lease_model import checker
 from sabledyke.testbed.lease_model.state import (
     FAST,
@@ -36,7 +36,8 @@
     config: ModelConfig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a model that does not see the fault that it is there for."""
-    monkeypatch.setattr(holder, "is_act_out", lambda *_: False)
+    for module in (holder, holder_release):
+        monkeypatch.setattr(module, "is_act_out", lambda *_: False)
     result = checker.check(config)
     assert result.violation == "1 may act while 0's act is out"
 
