--- a/tests/lease/test_operations.py
+++ b/tests/lease/test_operations.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -40,27 +42,20 @@
             file = tmp_path / "operator.toml"
             where = f'etcd = ["127.0.0.1:{etcd.port}"]' if backend == "etcd" else f'path = "{tmp_path / "l"}"'
             file.write_text(f"[lease]\n{where}\n")
-            authority = _authority(section.load(str(file)))
-            await authority.open()
-            manager = LeaseManager("sweep", "n0.life", authority, TIMES, 1)
-            task = asyncio.create_task(manager.run())
-            await manager.leading.wait()
-            assert await authority.record_completion("sweep", manager.current_token(), 12)
-            assert not await authority.record_completion("sweep", 0, 13)
-            for arguments, status, said in COMMANDS:
-                command = ["lease", *arguments, "--operator", str(file)]
-                assert await asyncio.to_thread(main, command) == status
-                out = capsys.readouterr().out
-                assert said in out
-                if arguments == ["release", "sweep"]:
-                    assert "given up by n0.life" in out
-            # It finds out when it renews, and the others have one lease's time to acquire it.
-            while manager.leading.is_set():
-                await asyncio.sleep(0.01)
-            assert await authority.last_completed_unix_ms("sweep") == 12
-            await manager.stop()
-            await task
-            await authority.close()
+            async with _held_lease(file) as (manager, authority):
+                assert await authority.record_completion("sweep", manager.current_token(), 12)
+                assert not await authority.record_completion("sweep", 0, 13)
+                for arguments, status, said in COMMANDS:
+                    command = ["lease", *arguments, "--operator", str(file)]
+                    assert await asyncio.to_thread(main, command) == status
+                    out = capsys.readouterr().out
+                    assert said in out
+                    if arguments == ["release", "sweep"]:
+                        assert "given up by n0.life" in out
+                # It finds out when it renews, and the others have one lease's time to acquire it.
+                while manager.leading.is_set():
+                    await asyncio.sleep(0.01)
+                assert await authority.last_completed_unix_ms("sweep") == 12
 
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
 
@@ -75,25 +70,32 @@
         file = tmp_path / "operator.toml"
         times = "ttl_ms = 1000\nrenew_ms = 100\nmargin_ms = 100"
         file.write_text(f'[lease]\npath = "{tmp_path / "l"}"\n{times}\n')
-        authority = _authority(section.load(str(file)))
-        await authority.open()
-        manager = LeaseManager("sweep", "n0.life", authority, TIMES, 1)
-        task = asyncio.create_task(manager.run())
-        await manager.leading.wait()
         command = ["lease", "release", "sweep", "--operator", str(file)]
-        async with manager.act():
-            assert await asyncio.to_thread(main, command) == 0
-            assert "n0.life waits for the end of the act that is out" in capsys.readouterr().out
-            assert manager.current_token() == 1  # for the steps of this act
-        with pytest.raises(LeaseLostError):
-            manager.current_token()
-        await manager.stop()
-        await task
-        await authority.close()
+        async with _held_lease(file) as (manager, _):
+            async with manager.act():
+                assert await asyncio.to_thread(main, command) == 0
+                assert "n0.life waits for the end of the act that is out" in capsys.readouterr().out
+                assert manager.current_token() == 1  # for the steps of this act
+            with pytest.raises(LeaseLostError):
+                manager.current_token()
 
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
 
 
+@contextlib.asynccontextmanager
+async def _held_lease(file: Path) -> AsyncIterator[tuple[LeaseManager, Authority]]:
+    """A manager that holds the lease ``sweep`` of the authority that an operator's file names."""
+    authority = _authority(section.load(str(file)))
+    await authority.open()
+    manager = LeaseManager("sweep", "n0.life", authority, TIMES, 1)
+    task = asyncio.create_task(manager.run())
+    await manager.leading.wait()
+    yield manager, authority
+    await manager.stop()
+    await task
+    await authority.close()
+
+
 def _authority(settings: section.LeaseSection) -> Authority:
     """The authority of these settings, with leases of 1 s."""
     if settings.path:
