Tell a scheduler's own repeat of a keyed write from one that its client sent again

So the scheduler sent it again: by reading, outlier._repeat_overdue cancels an overdue attempt and has it repeated. The check held such a repeat for a fault.

The new one is as strict on what the rule says: other shards and the window's end still count as violations, and a key that came under two requests fails.

--- a/sabledyke/testbed/traffic_checks.py
+++ b/sabledyke/testbed/traffic_checks.py
@@ -55,6 +55,16 @@
         if first.shard != shard or now_s > first.at_s + DEDUPLICATION_WINDOW_MS / 1000:
             self.violations += 1
 
+    def sent_again_by_clients(self) -> list[str]:
+        """Return the keys that came under more than one request: their clients sent what had run before.
+
+        A scheduler's own repeat comes under the same request. Within the window and at the same shard the
+        protocol allows it, where the earlier attempt was cancelled or lost.
+        """
+        return [
+            key for key, arrivals in self._arrivals.items() if len({run.request_id for run in arrivals}) > 1
+        ]
+
     def describe_repeats(self) -> str:
         """Return the arrivals of each key that came more than once, so that its repeats can be traced."""
         lines = [f"{key}: {arrivals}" for key, arrivals in self._arrivals.items() if len(arrivals) > 1]
