Show the model's mutant for recalls as well, which was found and not recognised

With is_act_out taken out, the search for recalls ends with '0 may act while 0's act is out': the recalled holder itself is the first to acquire the lease again (the model keeps nobody from that; the product waits one lease's time).

--- a/tests/lease/test_model.py
+++ b/tests/lease/test_model.py
@@ -31,7 +31,7 @@
             assert not result.violation, (config, checker.describe(result))
 
 
-@pytest.mark.parametrize("config", [config for config in GIVING_UP if config.budget.stops])
+@pytest.mark.parametrize("config", GIVING_UP)
 def test_a_holder_that_releases_its_lease_with_an_act_out_is_caught(
     config: ModelConfig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -39,7 +39,8 @@
     for module in (holder, holder_release):
         monkeypatch.setattr(module, "is_act_out", lambda *_: False)
     result = checker.check(config)
-    assert result.violation == "1 may act while 0's act is out"
+    next_holder = 1 if config.budget.stops else 0  # a recalled holder may be the first to acquire it again
+    assert result.violation == f"{next_holder} may act while 0's act is out"
 
 
 @pytest.mark.parametrize("authority_tracks_expiry", [False, True])
