Limit lines on changes of a lease and moves of a fleet apart from failures of their kind

Changes have a limit of their own, by one of a few words.

The new test of the log fails without it (the function is new).

--- a/sabledyke/lease/manager.py
+++ b/sabledyke/lease/manager.py
@@ -221,8 +221,9 @@
     def _publish(self, event: HolderEvent) -> None:
         if event is HolderEvent.RENEWED:  # too frequent for the log; ``lease status`` shows it
             return
-        log.emit(
+        log.emit_change(
             "lease",
+            event.value,
             f"{self.task_name}: {event.value}, token {self.state.token}",
             what=event.value,
             duty=self.task_name,
--- a/sabledyke/log.py
+++ b/sabledyke/log.py
@@ -60,6 +60,22 @@
         _write(kind, line, fields)
 
 
+def emit_change(kind: str, change: str, text: str, **fields: Field) -> None:
+    """Write one line on a change of state, as ``emit`` does, but limited apart from other lines of its kind.
+
+    Guards against failures that repeat hiding what became of them: a lease that was released, say, behind
+    ten lines on an authority that does not answer.
+
+    Args:
+        kind: The kind of the line.
+        change: What changed; one of a few words, as each is limited by itself.
+        text: The text.
+        fields: For structured logs.
+    """
+    for line in _limiter.lines(f"{kind} {change}", text):
+        _write(kind, line, fields)
+
+
 def set_writer(writer: Writer) -> None:
     """Have this writer write all lines from now on."""
     global _write
--- a/sabledyke/rollout/coordinator_driver.py
+++ b/sabledyke/rollout/coordinator_driver.py
@@ -149,4 +149,4 @@
             await append_move(writer, move)
         except WriteConflictError:
             return
-        log.emit("fleet", move.description, token=self._token)
+        log.emit_change("fleet", "move", move.description, token=self._token)
--- a/sabledyke/rollout/member_driver.py
+++ b/sabledyke/rollout/member_driver.py
@@ -188,7 +188,7 @@
         await append_move(self._writer, move)
         goes_out = move.description == GOES_OUT
         message = f"{self._name} goes out" if goes_out else move.description
-        log.emit("fleet", message, member=self._name)
+        log.emit_change("fleet", "move", message, member=self._name)
         if goes_out and not view.tickets[self._name].settings:
             self._leave(view.tickets[self._name])
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import pytest
+
+from sabledyke import log
 from sabledyke.log import Limiter
 
 
@@ -13,3 +16,17 @@
     assert limiter.lines("b", "x") == ["x"]
     now_s = 10.0
     assert limiter.lines("a", "5") == ["3 more like the last left out", "5"]
+
+
+def test_failures_of_a_kind_hide_no_change(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a lease whose release nobody sees, as its authority did not answer often before."""
+    lines: list[str] = []
+    monkeypatch.setattr(log, "_limiter", Limiter())
+    monkeypatch.setattr(log, "_write", lambda _kind, text, _fields: lines.append(text))
+    for _ in range(2 * log.MAX_LINES_PER_WINDOW):
+        log.emit("lease", "the authority did not answer")
+    for _ in range(2 * log.MAX_LINES_PER_WINDOW):
+        log.emit_change("lease", "released", "sweep: released")
+    log.emit_change("lease", "granted", "sweep: granted")
+    assert lines.count("sweep: released") == log.MAX_LINES_PER_WINDOW
+    assert lines[-1] == "sweep: granted"
