Set up the node that admission turns volumes away from in one place

Two tests set up the same node, budget and strained session line by line; both now use rig_with_small_budget and strain of the scheduler's rig. Their assertions are as they were. tests/policy: 104 passed; ruff, formatter and mypy clean.

--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -5,9 +5,8 @@
 from collections import deque
 
 from sabledyke.policy.admission import SAFETY_MARGIN
-from sabledyke.policy.concurrency import SESSION_IDLE_PERIODS
 from sabledyke.policy.context import LOOKBACK_MS
-from tests.support.scheduler_rig import SchedulerRig
+from tests.support.scheduler_rig import SchedulerRig, rig_with_small_budget, strain
 
 RESERVED_PLAN = 1  # an index into SETTINGS.plans
 
@@ -49,16 +48,8 @@
 
 def test_with_200_schedulers_as_with_3_the_budget_holds_and_admission_rejects() -> None:
     for scheduler_count in (3, 200):
-        rig = SchedulerRig(scheduler_count=scheduler_count)
-        period_ms = rig.scheduler.context.period_ms
-        rig.now_ms = (rig.now_ms // period_ms + 1) * period_ms
-        node = rig.node()
-        node.budget_units = 8.0
-        node.window_units = 32.0
-        node.latency_ms = 1.0
+        rig = rig_with_small_budget(scheduler_count)
         request_ids = [rig.submit() for _ in range(6)]
         assert sum(rig.attempt_count(request_id) for request_id in request_ids) == 4
-        node.strained = True
-        node.sessions[99] = rig.now_ms - period_ms * (SESSION_IDLE_PERIODS + 0.5)
-        node.period_loads.extend([0.9, 0.9])
+        strain(rig, volume=99)
         assert rig.answers(rig.submit(volume=99))
--- a/tests/policy/test_reject_reasons.py
+++ b/tests/policy/test_reject_reasons.py
@@ -8,10 +8,9 @@
 import pytest
 
 from sabledyke.policy.actions import Fail, Reject, RejectReason
-from sabledyke.policy.concurrency import SESSION_IDLE_PERIODS
 from sabledyke.policy.events import Outcome
 from tests.support.nodes import endpoint_change, node_entry
-from tests.support.scheduler_rig import SchedulerRig
+from tests.support.scheduler_rig import SchedulerRig, rig_with_small_budget, strain
 
 CAPPED_PLAN = 2  # indices into SETTINGS
 WRITE_CLASS = 1
@@ -25,18 +24,10 @@
 
 
 def rejected_by_admission() -> SchedulerRig:
-    rig = SchedulerRig(scheduler_count=3)
-    period_ms = rig.scheduler.context.period_ms
-    rig.now_ms = (rig.now_ms // period_ms + 1) * period_ms
-    node = rig.node()
-    node.budget_units = 8.0
-    node.window_units = 32.0
-    node.latency_ms = 1.0
+    rig = rig_with_small_budget(scheduler_count=3)
     for _ in range(6):
         rig.submit()
-    node.strained = True
-    node.sessions[99] = rig.now_ms - period_ms * (SESSION_IDLE_PERIODS + 0.5)
-    node.period_loads.extend([0.9, 0.9])
+    strain(rig, volume=99)
     rig.submit(volume=99)
     return rig
 
--- a/tests/support/scheduler_rig.py
+++ b/tests/support/scheduler_rig.py
@@ -7,6 +7,7 @@
 from typing import Any, TypeVar
 
 from sabledyke.policy.actions import Action, Fail, Reject, SetTimer, StartAttempt
+from sabledyke.policy.concurrency import SESSION_IDLE_PERIODS
 from sabledyke.policy.events import (
     AttemptCompleted,
     Event,
@@ -163,6 +164,26 @@
         ]
 
 
+def rig_with_small_budget(scheduler_count: int) -> SchedulerRig:
+    """A rig at the begin of a period whose node has a budget of 8 units and room for more in flight."""
+    rig = SchedulerRig(scheduler_count=scheduler_count)
+    period_ms = rig.scheduler.context.period_ms
+    rig.now_ms = (rig.now_ms // period_ms + 1) * period_ms
+    node = rig.node()
+    node.budget_units = 8.0
+    node.window_units = 32.0
+    node.latency_ms = 1.0
+    return rig
+
+
+def strain(rig: SchedulerRig, volume: int) -> None:
+    """Have the node count as strained, and the volume's session there as closed."""
+    node = rig.node()
+    node.strained = True
+    node.sessions[volume] = rig.now_ms - rig.scheduler.context.period_ms * (SESSION_IDLE_PERIODS + 0.5)
+    node.period_loads.extend([0.9, 0.9])
+
+
 def new_request(
     request_id: int,
     *,
