Say how long an unanswered lease request took, and how late a lease run's loop was

Change: the line 'the authority did not answer' names the request and after how many ms it was given up (also as fields of structured logs), and a lease run's report says how late the event loop was that authority stand-in, network and resource share.

--- a/sabledyke/lease/manager.py
+++ b/sabledyke/lease/manager.py
@@ -194,6 +194,7 @@
             task.add_done_callback(self._requests.discard)
 
     async def _send(self, action: SendRequest) -> None:
+        sent_at_ms = self._clock()
         try:
             async with asyncio.timeout(self.times.renew_interval_ms / 1000):
                 reply = await self._authority.request(self.task_name, self.holder_id, action.request)
@@ -201,12 +202,24 @@
             now_ms = self._clock()
             self._apply(holder.on_reply(self.state, self.times, now_ms, action.number, reply, jitter))
         except (AuthorityError, TimeoutError) as error:
-            log.emit("lease", f"{self.task_name}: the authority did not answer: {error or 'in time'}")
             now_ms = self._clock()
+            self._log_failure(action, error, now_ms - sent_at_ms)
             jitter = self._random.random()
             self._apply(holder.on_failure(self.state, self.times, now_ms, action.number, jitter))
         self._changed.set()
 
+    def _log_failure(self, action: SendRequest, error: Exception, duration_ms: float) -> None:
+        """Log what was requested and how long it took: a slow authority, or one that is not reached?"""
+        request = type(action.request).__name__.lower()
+        log.emit(
+            "lease",
+            f"{self.task_name}: the authority did not answer: {error or 'in time'}"
+            f" ({request}, after {duration_ms:.0f} ms)",
+            duty=self.task_name,
+            request=request,
+            after_ms=round(duration_ms),
+        )
+
     def _update_flags(self) -> None:
         """Tell the leader task whether an act may begin, and end the one whose lease has ended."""
         now_ms = self._clock()
--- a/sabledyke/testbed/lease_run.py
+++ b/sabledyke/testbed/lease_run.py
@@ -6,8 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -15,6 +16,7 @@
 
 import orjson
 
+from sabledyke.application.loop_lateness import LoopLateness
 from sabledyke.lease.holder_state import HolderEvent
 from sabledyke.testbed.cluster import Cluster
 from sabledyke.testbed.etcd_server import Etcd
@@ -25,6 +27,7 @@
 
 MIN_ACTS = 20  # that a run waits for, also on a busy machine
 FIRST_ACT_TIMEOUT_S = 60.0
+LATENESS_POLL_S = 0.01
 SEED_BITS = 32
 RELEASE_EVENTS = frozenset(
     event.value for event in (HolderEvent.RELEASED, HolderEvent.RECALLED, HolderEvent.FENCED)
@@ -41,6 +44,7 @@
         takeover_gaps_ms: The time from each fault that hit the holder to the next act of another.
         statuses: The exit statuses of the processes.
         timeline: The log lines of all processes by wall time.
+        lateness: How late the event loop of the authority, the resource and the network between them was.
     """
 
     evaluation: ActEvaluation
@@ -48,6 +52,7 @@
     takeover_gaps_ms: list[float] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
     timeline: list[dict[str, Any]] = field(default_factory=list)
+    lateness: LoopLateness = field(default_factory=LoopLateness)
 
     def lines(self) -> list[str]:
         """Return the lines that are printed for people."""
@@ -61,6 +66,7 @@
             f"{evaluation.out_at_release_count} out when their lease was released",
             f"{self.rejected} refused by their token; longest time without an act {longest_gap_ms:.0f} ms",
             f"to another holder after each fault: {gaps}",
+            f"late in all, authority and resource: {self.lateness.describe()}",
         ]
 
 
@@ -71,6 +77,25 @@
     }
 
 
+@contextlib.asynccontextmanager
+async def _watched_loop() -> AsyncIterator[LoopLateness]:
+    """Record how late the running event loop is."""
+    lateness = LoopLateness()
+    loop = asyncio.get_running_loop()
+
+    async def watch() -> None:
+        while True:
+            due_s = loop.time() + LATENESS_POLL_S
+            await asyncio.sleep(LATENESS_POLL_S)
+            lateness.record(loop.time(), loop.time() - due_s)
+
+    task = loop.create_task(watch())
+    try:
+        yield lateness
+    finally:
+        task.cancel()
+
+
 class LeaseRun:
     """One run of an experiment.
 
@@ -97,9 +122,10 @@
         if self._etcd is not None:
             await self._etcd.open()
         try:
-            await self._start_instances()
-            await self._wait_for_first_act()
-            await self._run_faults()
+            async with _watched_loop() as lateness:
+                await self._start_instances()
+                await self._wait_for_first_act()
+                await self._run_faults()
         finally:
             statuses = await self._stop()
         timeline = self.cluster.timeline()
@@ -109,6 +135,7 @@
             takeover_gaps_ms=self._takeover_gaps_ms(),
             statuses=statuses,
             timeline=timeline,
+            lateness=lateness,
         )
         lines = b"".join(orjson.dumps(line) + b"\n" for line in report.timeline)
         (self._folder / "timeline.jsonl").write_bytes(lines)
