Let a call to etcd for a lease take the time of its request, not a quarter of it

Cause: a request of up to three calls has one renew interval, and each call a quarter of it, whether or not the request had time left. Calls of 50 to 100 ms were cut with 200 ms allowed; grants lapsed, as the renewals after them were cut too.

Change: a call may take the renew interval divided by a majority of etcd's servers (all of it with one server, half with three), within the request's interval; a cancelled call leaves the next one to another server, as a failed one does. While etcd has a quorum one of any majority answers.

--- a/sabledyke/lease/etcd_gateway.py
+++ b/sabledyke/lease/etcd_gateway.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from collections.abc import Sequence
 from typing import Any
@@ -25,7 +26,7 @@
 
 
 class EtcdGateway:
-    """Calls one of the endpoints; after a call that failed, the next one goes to the next endpoint.
+    """Calls one of the endpoints; after one that failed or was cancelled, the next goes to the next endpoint.
 
     Connections are kept open between calls: a new one for each costs three to four times the CPU, on both
     sides.
@@ -56,6 +57,10 @@
         except TimeoutError as error:
             self._use_next_endpoint()
             raise AuthorityError(f"etcd: {path}: no answer in time") from error
+        except asyncio.CancelledError:
+            # The time of the request that this call is part of is over: its endpoint may hang.
+            self._use_next_endpoint()
+            raise
         except (aiohttp.ClientError, OSError, orjson.JSONDecodeError) as error:
             self._use_next_endpoint()
             raise AuthorityError(f"etcd: {path}: {error}") from error
--- a/sabledyke/lease/extension.py
+++ b/sabledyke/lease/extension.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from math import inf
 from typing import TYPE_CHECKING
 from uuid import uuid4
@@ -22,7 +22,6 @@
 if TYPE_CHECKING:
     from sabledyke.operator_config import OperatorConfig
 
-MAX_CALLS_PER_REQUEST = 4  # calls to etcd that fit into the time for one request
 INCARNATION_ID_DIGITS = 12
 STOP_POLL_S = 0.02  # between checks whether a shutdown leaves time to wait for an act
 
@@ -43,10 +42,15 @@
         return SqlAuthority(Target(path=section.path), section.times.ttl_ms)
     from sabledyke.lease.etcd_authority import EtcdAuthority
 
-    timeout_ms = section.times.renew_interval_ms / MAX_CALLS_PER_REQUEST
+    timeout_ms = section.times.renew_interval_ms / _majority(section.etcd_endpoints)
     return EtcdAuthority(section.etcd_endpoints, section.prefix, section.times.ttl_ms, timeout_ms)
 
 
+def _majority(endpoints: Sequence[str]) -> int:
+    """Return of how many servers one answers while etcd has a quorum."""
+    return len(endpoints) // 2 + 1
+
+
 class LeaseExtension(Extension):
     """The leader tasks that this instance is a candidate for.
 
