Play only the lease runs and shutdowns that the selected tests look at

Checks, seeds, settings and the number of runs at once are as they were; a run of the whole module plays what it played.

--- a/tests/application/test_shutdown_soak.py
+++ b/tests/application/test_shutdown_soak.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.support.selected_tests import selected_parameters
 from tests.support.shutdown_soak import SoakReport, draw_plan, play_all
 from tests.transcripts.support import Deployment, play
 
@@ -16,9 +17,12 @@
 
 
 @pytest.fixture(scope="module")
-def reports(tmp_path_factory: pytest.TempPathFactory) -> dict[int, SoakReport]:
-    """All plays, some at a time: most of it is waiting."""
-    return asyncio.run(play_all(SEEDS, tmp_path_factory.mktemp("soak")))
+def reports(
+    request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
+) -> dict[int, SoakReport]:
+    """The plays of the selected tests, some at a time: most of it is waiting."""
+    seeds = [int(str(params["seed"])) for params in selected_parameters(request) if params]
+    return asyncio.run(play_all(seeds, tmp_path_factory.mktemp("soak")))
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/lease/test_cluster.py
+++ b/tests/lease/test_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -11,6 +12,7 @@
 
 from sabledyke.testbed.experiment import Experiment, Fault, FaultKind
 from sabledyke.testbed.lease_run import LeaseRun, Report
+from tests.support.selected_tests import selected_parameters
 
 SEEDS = (1, 2)
 MAX_CONCURRENT_RUNS = 6
@@ -64,6 +66,7 @@
 }
 
 UNFENCED = replace(PLAIN, faults=LATE_MESSAGES, fenced=False)
+UNFENCED_RUN: ReportKey = ("table", "unfenced", 1)
 
 
 @dataclass(frozen=True)
@@ -80,8 +83,10 @@
 
 
 @pytest.fixture(scope="module")
-def reports(tmp_path_factory: pytest.TempPathFactory) -> dict[ReportKey, Played]:
-    """All of them, some at a time: most of it is waiting."""
+def reports(
+    request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
+) -> dict[ReportKey, Played]:
+    """The runs that the selected tests look at, some at a time: most of it is waiting."""
     finished: dict[ReportKey, Played] = {}
     semaphore = asyncio.Semaphore(MAX_CONCURRENT_RUNS)
 
@@ -92,15 +97,22 @@
 
     async def run_all() -> None:
         async with asyncio.TaskGroup() as group:
-            for (backend, name), case in ALL.items():
-                for seed in SEEDS:
-                    group.create_task(run_one((backend, name, seed), case.experiment))
-            group.create_task(run_one(("table", "unfenced", 1), UNFENCED))
+            for key, experiment in _needed_runs(selected_parameters(request)):
+                group.create_task(run_one(key, experiment))
 
     asyncio.run(run_all())
     return finished
 
 
+def _needed_runs(selected: Iterable[Mapping[str, object]]) -> Iterator[tuple[ReportKey, Experiment]]:
+    for params in selected:
+        if not params:
+            yield UNFENCED_RUN, UNFENCED
+            continue
+        backend, name, seed = str(params["backend"]), str(params["name"]), int(str(params["seed"]))
+        yield (backend, name, seed), ALL[backend, name].experiment
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize(("backend", "name"), ALL)
 def test_no_two_act_at_once_and_another_takes_over(
@@ -118,7 +130,9 @@
         assert evaluation.holder_count >= 2, played.describe()
         assert report.takeover_gaps_ms, played.describe()  # how soon: benchmarks/lease.py
     if name in SQL_CASES:
-        assert evaluation.longest_gap_ms > 1500, played.describe()  # nobody can act until its process has ended
+        assert (
+            evaluation.longest_gap_ms > 1500
+        ), played.describe()  # nobody can act until its process has ended
     if name == "late":
         assert report.rejected >= 1  # what the network kept came after another's acts
         assert any("has seen a token after" in str(line.get("event")) for line in report.timeline)
@@ -128,4 +142,4 @@
 def test_without_the_fence_the_checker_finds_an_act_out_of_order(
     reports: dict[ReportKey, Played],
 ) -> None:
-    assert reports["table", "unfenced", 1].report.evaluation.stale_count >= 1
+    assert reports[UNFENCED_RUN].report.evaluation.stale_count >= 1
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import traceback
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
 from concurrent.futures import Future, ProcessPoolExecutor
 from dataclasses import replace
 from pathlib import Path
@@ -42,6 +42,7 @@
     two_plans_at_once,
 )
 from tests.rollout.topic_scenarios import topic_of_an_operator
+from tests.support.selected_tests import selected_parameters
 
 Scenario = Callable[[Fleet], Awaitable[None]]
 Run = tuple[str, str, int]
@@ -180,21 +181,16 @@
 @pytest.fixture(scope="module")
 def runs(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Iterator[Runs]:
     """Begin all runs that the selected tests need, some at a time, as most of it is waiting."""
-    needed = _needed_runs(request.session.items)
+    needed = _needed_runs(selected_parameters(request))
     with ProcessPoolExecutor(MAX_PROCESSES) as pool:
         yield {run: pool.submit(run_in_process, run, str(tmp_path_factory.mktemp("fleet"))) for run in needed}
 
 
-def _needed_runs(items: Iterable[pytest.Item]) -> list[Run]:
-    """Return the runs that these tests look at: a test that is played alone takes the time of its own run."""
+def _needed_runs(selected: Iterable[Mapping[str, object]]) -> list[Run]:
+    """Return the runs that these tests look at: those of a name, or one on one backend."""
     names: set[str] = set()
     needed: set[Run] = set()
-    for item in items:
-        if not isinstance(item, pytest.Function) or item.path != Path(__file__):
-            continue
-        if item.get_closest_marker("skip") is not None:
-            continue
-        params = item.callspec.params
+    for params in selected:
         if "backend" in params:
             needed.add((str(params["backend"]), str(params["name"]), int(str(params["seed"]))))
         else:
