Have processes of a play end with it when it is killed

Cause: the cluster ends its processes when a play ends, and nobody does when the play is killed; the pool that plays rollouts leaves its own processes behind too.

Change: each process of a cluster, and of the two pools that play processes, asks the kernel to be killed with the thread that started it (prctl's PR_SET_PDEATHSIG), and ends at once where that is gone already.

--- a/sabledyke/testbed/cluster.py
+++ b/sabledyke/testbed/cluster.py
@@ -1,7 +1,8 @@
 """Processes of the program, each with a folder, a configuration and logs of its own.
 
-The cluster starts, signals and stops them, by process id and in bounded time. What they do it does not know:
-an experiment says what is in their operator's files. At most ``MAX_PROCESSES`` of them.
+The cluster starts, signals and stops them, by process id and in bounded time; they end with it when it is
+killed. What they do it does not know: an experiment says what is in their operator's files. At most
+``MAX_PROCESSES`` of them.
 """
 
 from __future__ import annotations
@@ -12,11 +13,13 @@
 import socket
 import sys
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from sabledyke.testbed.parent_death import end_with_parent
 from sabledyke.testbed.ports import hold_port
 
 MAX_PROCESSES = 64
@@ -134,6 +137,7 @@
                 stdout=log,
                 stderr=log,
                 env=_environment(),
+                preexec_fn=partial(end_with_parent, os.getpid()),
             )
 
     def send_signal(self, number: int, what: signal.Signals) -> None:
--- a/tests/quota_sharing/test_shared_limits.py
+++ b/tests/quota_sharing/test_shared_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -18,6 +19,7 @@
 from sabledyke.quota_sharing.allocation import MAX_PUBLISHED_VOLUMES, QuotaAllocator, QuotaPolicy, Timing
 from sabledyke.quota_sharing.demand import DemandMeter
 from sabledyke.testbed import shared_limits, shared_limits_run
+from sabledyke.testbed.parent_death import end_with_parent
 from sabledyke.testbed.quota_member import Safeguards
 from sabledyke.testbed.quota_model import QuotaSimulation
 from sabledyke.testbed.scenario import Report
@@ -168,7 +170,7 @@
 @pytest.fixture(scope="module")
 def reports() -> dict[str, Report]:
     """All of them, four at a time, as they mostly wait."""
-    with ProcessPoolExecutor(4) as pool:
+    with ProcessPoolExecutor(4, initializer=end_with_parent, initargs=(os.getpid(),)) as pool:
         return dict(zip(EXPERIMENTS, pool.map(run_experiment, EXPERIMENTS), strict=True))
 
 
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import traceback
 from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
@@ -17,6 +18,7 @@
 from sabledyke.testbed.fleet_faults import FleetFault
 from sabledyke.testbed.fleet_settings import FleetSettings
 from sabledyke.testbed.fleet_transcript import transcript
+from sabledyke.testbed.parent_death import end_with_parent
 from tests.rollout.member_scenarios import (
     coordinator_killed_midway,
     member_never_returns,
@@ -182,7 +184,7 @@
 def runs(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Iterator[Runs]:
     """Begin all runs that the selected tests need, some at a time, as most of it is waiting."""
     needed = _needed_runs(selected_parameters(request))
-    with ProcessPoolExecutor(MAX_PROCESSES) as pool:
+    with ProcessPoolExecutor(MAX_PROCESSES, initializer=end_with_parent, initargs=(os.getpid(),)) as pool:
         yield {run: pool.submit(run_in_process, run, str(tmp_path_factory.mktemp("fleet"))) for run in needed}
 
 
--- /dev/null
+++ b/tests/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``sabledyke.testbed``."""
