Fail where a request comes to a storage node again and no attempt was given up

Cause: since a key may come twice under one request, and the check took it on trust that the attempt before had been cancelled or lost.

Change: storage nodes of the testbed record each arrival and ask, when the request comes again, what became of the connection of the one before. Not answered and closed is a cancelled attempt; answered is one that was lost only where the connection was reset over the unread answer, and not where the connection was used again. It holds for reads too: no second copies are allowed there. The older checks stand as they were.

--- a/sabledyke/testbed/scenario_run.py
+++ b/sabledyke/testbed/scenario_run.py
@@ -197,6 +197,8 @@
         violations.append(f"{nodes.requests_while_draining} requests were at a drained box")
     if nodes.deduplication.violations:
         violations.append(f"{nodes.deduplication.violations} keys ran beyond their window or shard")
+    if nodes.repeats.untimely:
+        violations.append(f"{len(nodes.repeats.untimely)} requests came again with no attempt given up")
     if len(set(fleet.node_operator.replaced)) < len(fleet.node_operator.replaced):
         violations.append("a box was taken away twice")
     return violations
--- a/sabledyke/testbed/storage_nodes.py
+++ b/sabledyke/testbed/storage_nodes.py
@@ -7,18 +7,26 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from collections import Counter
 from typing import Any
 
 import orjson
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from sabledyke.net import clock
 from sabledyke.testbed.deployment import SHARD_COUNT
-from sabledyke.testbed.traffic_checks import DeduplicationCheck, SlowStartCheck
+from sabledyke.testbed.traffic_checks import (
+    ConnectionState,
+    DeduplicationCheck,
+    RepeatCheck,
+    SlowStartCheck,
+)
 
 SERVICE_TIME_S = 0.005
 
@@ -28,6 +36,7 @@
 
     Attributes:
         deduplication: What is checked of writes.
+        repeats: What is checked of requests that come again.
         slow_start: What is checked of nodes that were started again.
         request_count: How many requests came.
         unit_times: When each unit came, by volume.
@@ -39,6 +48,7 @@
 
     def __init__(self, nodes_per_shard: int = 1, warm_up_s: float = 0.5) -> None:
         self.deduplication = DeduplicationCheck()
+        self.repeats = RepeatCheck(connection_state)
         self.slow_start = SlowStartCheck(warm_up_s)
         self.request_count = 0
         self.unit_times: dict[str, list[float]] = {}
@@ -159,8 +169,12 @@
     async def get(self) -> None:
         key = self.request.headers.get("Idempotency-Key", "")
         request_id = self.request.headers.get("Req-Id", "")
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)
+        arrival = self._nodes.repeats.on_arrival(request_id, connection.stream, time.monotonic())
         answered = await self._nodes.handle(self._number, self.request.path, key, request_id)
         if answered:
+            arrival.is_answered = connection_state(connection.stream) is ConnectionState.OPEN
             self.finish(self.request.path.encode())
         else:
             self.detach().close()
@@ -187,6 +201,20 @@
         self.finish(orjson.dumps({"seq": self._nodes.list_version, "whole": changed, "hosts": endpoints}))
 
 
+def connection_state(stream: IOStream) -> ConnectionState:
+    """Return what this end knows of a connection, also what has come and was not read yet."""
+    if stream.closed():
+        was_reset = isinstance(stream.error, ConnectionResetError)
+        return ConnectionState.RESET if was_reset else ConnectionState.CLOSED
+    try:
+        unread = stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return ConnectionState.OPEN
+    except ConnectionResetError:
+        return ConnectionState.RESET
+    return ConnectionState.OPEN if unread else ConnectionState.CLOSED
+
+
 def _listen(handler: type[RequestHandler], **arguments: Any) -> tuple[HTTPServer, int]:
     """Start a server for this handler on a port of its own, and return both."""
     application = Application([(".*", handler, arguments)], log_function=lambda _: None)
--- a/sabledyke/testbed/traffic_checks.py
+++ b/sabledyke/testbed/traffic_checks.py
@@ -6,7 +6,11 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from weakref import WeakKeyDictionary
 
 from sabledyke.testbed.deployment import (
     DEDUPLICATION_WINDOW_MS,
@@ -58,8 +62,7 @@
     def sent_again_by_clients(self) -> list[str]:
         """Return the keys that came under more than one request: their clients sent what had run before.
 
-        A scheduler's own repeat comes under the same request. Within the window and at the same shard the
-        protocol allows it, where the earlier attempt was cancelled or lost.
+        A scheduler's own repeat comes under the same request; ``RepeatCheck`` says whether it was in order.
         """
         return [
             key for key, arrivals in self._arrivals.items() if len({run.request_id for run in arrivals}) > 1
@@ -71,6 +74,78 @@
         return "\n".join(lines)
 
 
+class ConnectionState(Enum):
+    """What a node sees of the connection that an attempt came on."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    RESET = "reset"  # also where the scheduler closed it before it had read all that was sent
+
+
+@dataclass(slots=True)
+class Arrival:
+    """One attempt of a request, as a node saw it.
+
+    Attributes:
+        at_s: When it came.
+        is_answered: Whether the node has sent its answer.
+        is_answer_read: Whether the scheduler has read that, as its connection was used again.
+        end: How its connection ended, as far as was seen; ``OPEN`` before.
+    """
+
+    at_s: float
+    is_answered: bool = False
+    is_answer_read: bool = False
+    end: ConnectionState = ConnectionState.OPEN
+
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the scheduler has ended it before it read an answer."""
+        if not self.is_answered:
+            return self.end is not ConnectionState.OPEN
+        return self.end is ConnectionState.RESET and not self.is_answer_read
+
+
+class RepeatCheck:
+    """Checks that a request comes again only once its attempt before was cancelled or lost.
+
+    For deployments without second copies. An attempt that was answered counts as lost where its connection
+    was reset over the unread answer.
+
+    Attributes:
+        allowed: The repeats that were in order, each with what was seen of the attempt before.
+        untimely: Those that were not.
+    """
+
+    def __init__(self, state_of: Callable[[Any], ConnectionState]) -> None:
+        """Make a check.
+
+        Args:
+            state_of: Returns the state of a connection now.
+        """
+        self.allowed: list[str] = []
+        self.untimely: list[str] = []
+        self._state_of = state_of
+        self._arrivals: dict[str, list[tuple[Arrival, Any]]] = {}  # with their connections, by request
+        self._latest: WeakKeyDictionary[Any, Arrival] = WeakKeyDictionary()  # by connection
+
+    def on_arrival(self, request_id: str, connection: Any, now_s: float) -> Arrival:
+        """Process that an attempt of a request has come on this connection."""
+        before = self._latest.get(connection)
+        if before is not None:
+            before.is_answer_read = before.is_answered
+        attempts = self._arrivals.setdefault(request_id, [])
+        for earlier, its_connection in attempts:
+            if earlier.end is ConnectionState.OPEN:
+                earlier.end = self._state_of(its_connection)
+            repeats = self.allowed if earlier.is_given_up else self.untimely
+            repeats.append(f"{request_id}: again after {now_s - earlier.at_s:.3f} s, {earlier}")
+        arrival = Arrival(now_s)
+        self._latest[connection] = arrival
+        attempts.append((arrival, connection))
+        return arrival
+
+
 @dataclass(slots=True)
 class _WarmingNode:
     started_at_s: float
--- a/tests/rollout/node_scenarios.py
+++ b/tests/rollout/node_scenarios.py
@@ -37,6 +37,7 @@
     assert lost <= MAX_LOST_FRACTION * outcomes.total(), outcomes
     nodes = fleet.nodes
     assert not nodes.deduplication.violations, nodes.deduplication.describe_repeats()
+    assert not nodes.repeats.untimely, nodes.repeats.untimely
     assert not nodes.requests_while_draining
     assert nodes.slow_start.max_load < 1
     sent_again = nodes.deduplication.sent_again_by_clients()
