--- a/sabledyke/lease/extension.py
+++ b/sabledyke/lease/extension.py
@@ -47,7 +47,7 @@
 
 
 def _majority(endpoints: Sequence[str]) -> int:
-    """Return of how many servers one answers while etcd has a quorum."""
+    """Return the size of a majority; one of any so many servers answers while etcd has a quorum."""
     return len(endpoints) // 2 + 1
 
 
--- a/tests/lease/test_slow_authority.py
+++ b/tests/lease/test_slow_authority.py
@@ -74,7 +74,7 @@
         await authority.close()
 
 
-def test_a_lease_is_held_where_two_calls_fit_into_the_time_of_a_request() -> None:
+def test_a_lease_is_acquired_where_two_calls_fit_into_the_time_of_a_request() -> None:
     """Guards against calls that are cut while their request has time left, so that nobody gets the lease."""
 
     async def run() -> None:
@@ -89,7 +89,7 @@
 
 
 @pytest.mark.parametrize("hanging_first", [True, False])
-def test_a_lease_is_held_where_one_of_the_servers_hangs(*, hanging_first: bool) -> None:
+def test_a_lease_is_acquired_where_one_of_the_servers_hangs(*, hanging_first: bool) -> None:
     async def run() -> None:
         async with server_that_hangs() as hanging, etcd_server() as etcd:
             endpoints = [hanging, f"127.0.0.1:{etcd.port}"]
