Reject a configuration file that lacks a key, on SIGHUP and at the start

Cause: settings.py had a default for every key that it could do without, config.py for limits, seed and known, and nothing checked that a file is complete.

Change: settings_keys.py lists the keys that a file must contain; a missing one is an error that names it. Defaults are left only where WIRE allows a key to be absent. goal, prices, the two CPU limits and console are not used in every deployment: a new file must have those that the file in force has. Entries of known must state zone and kind.

Changed assertions, each as strict or stricter: the compatibility test asserted the defaults themselves, and now names the optional keys; a reload without `console` was accepted and is rejected; limits that are no object get the text for a missing key. Test settings and the testbed's were completed with the former defaults; config.json of the compatibility tests got the keys that it lacked.

--- a/sabledyke/config.py
+++ b/sabledyke/config.py
@@ -13,14 +13,18 @@
 from sabledyke.policy.settings import Settings
 from sabledyke.protocol.discovery import EndpointListing, ListError, parse_address, read_listing
 from sabledyke.settings import SettingsError, build, flatten
+from sabledyke.settings_keys import (
+    NULLABLE_FILE_KEYS,
+    REQUIRED_FILE_KEYS,
+    RETAINED_FILE_KEYS,
+    RETAINED_KEYS,
+)
 
 ENVIRONMENT_PREFIX = "GW_"
 IDENTITY_KEYS = ("name", "listen", "discovery")
 """Keys of the file that environment variables override; their values are strings."""
 
-DEFAULT_SOCKETS = 1024
 MIN_SOCKETS = 64
-DEFAULT_MEMORY_MB = 64
 MAX_MEMORY_MB = 1 << 20
 BYTES_PER_MB = 1024 * 1024
 OPEN_REQUEST_SOCKET_DIVISOR = 3
@@ -43,6 +47,7 @@
         console: Host and port of the operators' console; None without one.
         identity_in_file: Values of ``IDENTITY_KEYS`` in the file.
         identity_in_force: Values of ``IDENTITY_KEYS`` in force.
+        retained_keys: Keys of the file that a reload must find again, although a first file may lack them.
     """
 
     name: str
@@ -56,6 +61,7 @@
     console: tuple[str, int] | None = None
     identity_in_file: Mapping[str, object] = field(default_factory=dict)
     identity_in_force: Mapping[str, str] = field(default_factory=dict)
+    retained_keys: frozenset[str] = frozenset()
 
 
 def load(environ: Mapping[str, str], current: Config | None = None) -> Config:
@@ -93,11 +99,14 @@
 
 
 def _config(data: dict[str, Any], environ: Mapping[str, str], current: Config | None) -> Config:
-    if not isinstance(data.get("settings"), dict):
-        raise ConfigError("settings are missing from the file")
+    _require_file_keys(data)
     seed = _seed(data)
-    settings = build(dict(flatten(data["settings"])))
-    limits = data.get("limits") or {}
+    values = dict(flatten(data["settings"]))
+    settings = build(values)
+    retained_keys = _retained_keys(data, values)
+    if current is not None:
+        _require_retained(current.retained_keys - retained_keys)
+    limits = data["limits"]
     sockets = _sockets(limits)
     # Limits open requests to what the file descriptors allow, whatever the settings ask for.
     open_requests = min(settings.max_open_requests, sockets / OPEN_REQUEST_SOCKET_DIVISOR)
@@ -106,7 +115,7 @@
     # A reload keeps the console's address: operators would lose access if its listener moved.
     console = current.console if current else _console(data, environ)
     memory_bytes = _memory_bytes(limits)
-    known = data.get("known")
+    known = data["known"]
     return Config(
         name=identity["name"],
         listen=parse_address(identity["listen"]),
@@ -119,25 +128,54 @@
         console=console,
         identity_in_file={key: data.get(key) for key in IDENTITY_KEYS},
         identity_in_force=identity,
+        retained_keys=retained_keys,
     )
 
 
+def _require_file_keys(data: dict[str, Any]) -> None:
+    """Raise a ConfigError if a key is missing that every configuration file has."""
+    if not isinstance(data.get("settings"), dict):
+        raise ConfigError("settings are missing from the file")
+    for path in REQUIRED_FILE_KEYS:
+        value: object = data
+        for key in path.split("."):
+            value = value.get(key) if isinstance(value, dict) else None
+        if value is None:
+            raise ConfigError(f"{path} is missing from the file")
+    for key in NULLABLE_FILE_KEYS:
+        if key not in data:
+            raise ConfigError(f"{key} is missing from the file")
+
+
+def _retained_keys(data: dict[str, Any], settings_values: Mapping[str, str]) -> frozenset[str]:
+    """Return the keys in the file that a reload must find again."""
+    of_file = {key for key in RETAINED_FILE_KEYS if data.get(key) is not None}
+    of_settings = {f"settings.{key}" for key in RETAINED_KEYS if key in settings_values}
+    return frozenset(of_file | of_settings)
+
+
+def _require_retained(missing: frozenset[str]) -> None:
+    """Raise a ConfigError if a new file lacks keys that the file in force has."""
+    if missing:
+        raise ConfigError(f"{min(missing)} is missing from the file, but the file in force has it")
+
+
 def _seed(data: dict[str, Any]) -> int:
     try:
-        return int(str(data.get("seed", "0")), 16)
+        return int(str(data["seed"]), 16)
     except ValueError:
         raise ConfigError(f"seed must be hex digits, not {data['seed']!r}") from None
 
 
-def _sockets(limits: object) -> int:
-    sockets = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else None
+def _sockets(limits: dict[str, Any]) -> int:
+    sockets = limits["sockets"]
     if not isinstance(sockets, int) or sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets must be a whole number from {MIN_SOCKETS} up, not {sockets!r}")
     return sockets
 
 
 def _memory_bytes(limits: dict[str, Any]) -> int:
-    memory_mb = limits.get("memory_mb", DEFAULT_MEMORY_MB)
+    memory_mb = limits["memory_mb"]
     if not isinstance(memory_mb, int | float) or not 1 <= memory_mb < MAX_MEMORY_MB:
         raise ConfigError(f"limits.memory_mb must be a number from 1 up, not {memory_mb!r}")
     return int(memory_mb * BYTES_PER_MB)
--- a/sabledyke/protocol/discovery.py
+++ b/sabledyke/protocol/discovery.py
@@ -113,7 +113,7 @@
     invalid_entry = ""
     for fields in document[names.LIST_NODES]:
         try:
-            entry = _read_entry(fields, settings)
+            entry = _read_entry(fields, settings, complete=cached)
             if entry.state is not NodeState.GONE:
                 addresses[entry.node_id] = parse_address(fields[names.NODE_ADDRESS])
             entries.append(entry)
@@ -128,9 +128,10 @@
     return EndpointListing(update, addresses, invalid_entry)
 
 
-def _read_entry(fields: dict[str, Any], settings: Settings) -> NodeEntry:
-    zone = fields.get(names.NODE_ZONE)
-    kind = fields.get(names.NODE_KIND)
+def _read_entry(fields: dict[str, Any], settings: Settings, *, complete: bool) -> NodeEntry:
+    """Return a node; a KeyError if a field is missing, or zone or kind although it must be complete."""
+    zone = fields[names.NODE_ZONE] if complete else fields.get(names.NODE_ZONE)
+    kind = fields[names.NODE_KIND] if complete else fields.get(names.NODE_KIND)
     started_ms = float(fields[names.NODE_STARTED_MS])
     # NaN differs from itself, so that each list would look like a restart of the node.
     if not (isfinite(started_ms) and started_ms >= 0):
--- a/sabledyke/settings.py
+++ b/sabledyke/settings.py
@@ -8,15 +8,13 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import replace
 from enum import Enum
-from math import inf
 from typing import TypeVar
 
 from sabledyke.errors import SettingsError as SettingsError
 from sabledyke.policy.settings import DeduplicationScope, Plan, RepeatSafety, RequestClass, Settings
+from sabledyke.settings_keys import item_count, require, require_settings
 
 MAX_CLASSES = 64  # request classes over the life of a process, including retired ones
-DEFAULT_CONNECT_TIMEOUT_MS = 250.0
-DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 
 # The platform's names of RepeatSafety and DeduplicationScope, for error messages.
 _SEMANTICS_KIND = "Repeat"
@@ -68,10 +66,13 @@
 def build(values: Mapping[str, str]) -> Settings:
     """Builds the settings from the platform's paths and values.
 
+    Only keys that the platform declares optional have a default: any other value must not be guessed.
+
     Raises:
         SettingsError: A value is missing or invalid; the text names its path.
         ValueError: A value is outside its range.
     """
+    require_settings(values)
     return _Builder(values).settings()
 
 
@@ -89,15 +90,15 @@
         return Settings(
             scheduler_index=int(self._number("me")),
             scheduler_count=int(self._number("siblings")),
-            zone=int(self._number("az", 0.0)),
+            zone=int(self._number("az")),
             zones=self._words("zones"),
             classes=self._request_classes(),
             plans=self._plans(),
             polls_endpoint_list=self._text("discovery") == "on_request",
             max_attempts=int(self._number("ceilings.try_limit")),
-            hedging_allowed=self._flag("ceilings.second_copies", default=False),
-            cancellation_allowed=self._flag("ceilings.cancel", default=False),
-            probing_allowed=self._flag("ceilings.probes", default=False),
+            hedging_allowed=self._flag("ceilings.second_copies"),
+            cancellation_allowed=self._flag("ceilings.cancel"),
+            probing_allowed=self._flag("ceilings.probes"),
             max_retry_after_ms=self._max_retry_after_ms(),
             mean_units=self._number("family_info.usual_units"),
             max_units=self._number("family_info.units_top"),
@@ -107,29 +108,29 @@
             slow_start_fraction=self._number("invariants.cold_share"),
             warm_up_ms=self._number("invariants.warm_up"),
             overload_window_ms=self._number("invariants.fall"),
-            overload_multiple=self._number("invariants.tip_multiple", 0.0),
+            overload_multiple=self._number("invariants.tip_multiple"),
             answer_slack_ms=self._number("invariants.answer_slack"),
-            order_settle_ms=self._number("invariants.order_settle", 0.0),
-            retry_budget_window_ms=self._number("invariants.look_back", 0.0),
-            retry_budget_free=self._number("invariants.spare_attempts", 0.0),
-            retry_budget_ratio=self._number("invariants.repeat_ratio", 0.0),
-            reports_other_usage=self._flag("family_info.says_others", default=False),
-            meter_period_ms=self._number("family_info.meter_period", 0.0),
+            order_settle_ms=self._optional_number("invariants.order_settle"),
+            retry_budget_window_ms=self._optional_number("invariants.look_back"),
+            retry_budget_free=self._optional_number("invariants.spare_attempts"),
+            retry_budget_ratio=self._optional_number("invariants.repeat_ratio"),
+            reports_other_usage=self._flag("family_info.says_others"),
+            meter_period_ms=self._number("family_info.meter_period"),
             report_fields=self._words("telemetry.fields"),
             node_kinds=self._words("kinds"),
-            drain_grace_ms=self._number("invariants.stop_sending_within", 0.0),
-            max_open_requests=self._number("ceilings.open_cap", inf),
-            connect_timeout_ms=self._number("ceilings.connect_timeout", DEFAULT_CONNECT_TIMEOUT_MS),
-            idle_timeout_ms=self._number("ceilings.conn_idle", DEFAULT_IDLE_TIMEOUT_MS),
-            clients_mark_retries=self._flag("clients.marks_retry", default=False),
+            drain_grace_ms=self._number("invariants.stop_sending_within"),
+            max_open_requests=self._number("ceilings.open_cap"),
+            connect_timeout_ms=self._number("ceilings.connect_timeout"),
+            idle_timeout_ms=self._number("ceilings.conn_idle"),
+            clients_mark_retries=self._flag("clients.marks_retry"),
         )
 
     def _request_classes(self) -> tuple[RequestClass, ...]:
-        count = int(self._number("profiles.count"))
+        count = item_count(self._values, "profiles")
         return tuple(self._request_class(index) for index in range(count))
 
     def _plans(self) -> tuple[Plan, ...]:
-        count = int(self._number("grades.count"))
+        count = item_count(self._values, "grades")
         return tuple(self._plan(index) for index in range(count))
 
     def _request_class(self, index: int) -> RequestClass:
@@ -138,7 +139,7 @@
         semantics, group = f"{prefix}semantics", f"{prefix}group"
         try:
             repeat_safety = _choice(RepeatSafety, self._text(semantics), _SEMANTICS_KIND)
-            scope = _choice(DeduplicationScope, self._values.get(group, "all"), _GROUP_KIND)
+            scope = _choice(DeduplicationScope, self._text(group), _GROUP_KIND)
         except ValueError as error:
             raise SettingsError(f"setting {semantics} or {group}: {error}") from None
         return RequestClass(
@@ -146,12 +147,12 @@
             latency_objective_ms=self._number(f"{prefix}aim"),
             deadline_ms=self._number(f"{prefix}hard_limit"),
             value=self._number(f"{prefix}credit"),
-            late_value=self._number(f"{prefix}late_worth", 0.0),
+            late_value=self._number(f"{prefix}late_worth"),
             repeat_safety=repeat_safety,
             deduplication_scope=scope,
-            deduplication_window_ms=self._number(f"{prefix}window", 0.0),
-            streamed=self._flag(f"{prefix}stream", default=False),
-            ordered=self._flag(f"{prefix}keep_order", default=False),
+            deduplication_window_ms=self._number(f"{prefix}window"),
+            streamed=self._flag(f"{prefix}stream"),
+            ordered=self._optional_flag(f"{prefix}keep_order"),
             writes=index < len(writes) and writes[index] == "true",
         )
 
@@ -160,41 +161,44 @@
         return Plan(
             name=self._text(f"{prefix}name"),
             usual_rate=self._number(f"{prefix}usual_rate"),
-            reservation=self._number(f"{prefix}floor_rate", 0.0),
-            limit=self._number(f"{prefix}ceiling_rate", 0.0),
-            limit_burst=self._number(f"{prefix}limit_burst", 0.0),
-            limit_slack=self._number(f"{prefix}slack", 0.0),
-            weight=self._number(f"{prefix}proportion", 1.0),
-            value_factor=self._number(f"{prefix}worth_factor", 1.0),
+            reservation=self._number(f"{prefix}floor_rate"),
+            limit=self._number(f"{prefix}ceiling_rate"),
+            limit_burst=self._number(f"{prefix}limit_burst"),
+            limit_slack=self._number(f"{prefix}slack"),
+            weight=self._number(f"{prefix}proportion"),
+            value_factor=self._number(f"{prefix}worth_factor"),
         )
 
     def _max_retry_after_ms(self) -> float:
-        if not self._flag("ceilings.retry_after", default=False):
+        if not self._flag("ceilings.retry_after"):
             return 0.0
-        return self._number("ceilings.max_retry_after", 0.0)
+        return self._number("ceilings.max_retry_after")
 
     def _text(self, path: str) -> str:
-        if path not in self._values:
-            raise SettingsError(f"setting {path} is missing")
+        require(self._values, path)
         return self._values[path]
 
-    def _number(self, path: str, default: float | None = None) -> float:
-        if default is not None and path not in self._values:
-            return default
+    def _number(self, path: str) -> float:
+        text = self._text(path)
         try:
-            return float(self._text(path))
+            return float(text)
         except ValueError:
-            raise SettingsError(f"setting {path} is no number: {self._values[path]!r}") from None
+            raise SettingsError(f"setting {path} is no number: {text!r}") from None
+
+    def _optional_number(self, path: str) -> float:
+        return self._number(path) if path in self._values else 0.0
+
+    def _flag(self, path: str) -> bool:
+        text = self._text(path)
+        if text not in ("true", "false"):
+            raise SettingsError(f"setting {path} is neither true nor false: {text!r}")
+        return text == "true"
 
-    def _flag(self, path: str, *, default: bool) -> bool:
-        if path not in self._values:
-            return default
-        if self._values[path] not in ("true", "false"):
-            raise SettingsError(f"setting {path} is neither true nor false: {self._values[path]!r}")
-        return self._values[path] == "true"
+    def _optional_flag(self, path: str) -> bool:
+        return path in self._values and self._flag(path)
 
     def _words(self, path: str) -> tuple[str, ...]:
-        return tuple(word for word in self._values.get(path, "").split(",") if word)
+        return tuple(word for word in self._text(path).split(",") if word)
 
 
 def _choice(choices: type[_Choice], text: str, kind: str) -> _Choice:
--- a/sabledyke/testbed/cluster.py
+++ b/sabledyke/testbed/cluster.py
@@ -20,6 +20,7 @@
 import orjson
 
 from sabledyke.testbed.parent_death import end_with_parent
+from sabledyke.testbed.platform_settings import complete_settings
 from sabledyke.testbed.ports import hold_port
 
 MAX_PROCESSES = 64
@@ -27,21 +28,6 @@
 STOP_TIMEOUT_S = 10.0  # time from SIGTERM to SIGKILL
 STATE_POLL_S = 0.001  # interval of checks that a process has stopped
 PAUSE_RETRY_S = 0.002  # running time of a process that stopped at the wrong moment, before the next try
-DEFAULT_SETTINGS: dict[str, Any] = {  # a small deployment; an experiment's settings are in operator's files
-    "siblings": 1,
-    "discovery": "on_request",
-    "ceilings": {"try_limit": 3},
-    "family_info": {
-        "usual_units": 2,
-        "units_top": 8,
-        "fair_worth": 0.3,
-        "spare_worth": 0.05,
-        "young_limit": 20,
-    },
-    "invariants": {"cold_share": 0.25, "warm_up": 10000, "fall": 2000, "answer_slack": 8},
-    "profiles": [{"name": "read", "aim": 200, "hard_limit": 1000, "credit": 2, "semantics": "idempotent"}],
-    "grades": [{"name": "base", "usual_rate": 5}],
-}
 
 
 @dataclass(slots=True)
@@ -113,8 +99,9 @@
             "listen": f"127.0.0.1:{instance.port_number}",
             "discovery": discovery,
             "seed": f"{number:x}",
-            "limits": {"sockets": 128, "memory_mb": 64},
-            "settings": {**DEFAULT_SETTINGS, **identity, **(settings or {})},
+            "limits": {"cores": 1, "sockets": 128, "memory_mb": 64},
+            "known": None,
+            "settings": complete_settings({**identity, **(settings or {})}),
         }
         (instance.folder / "config.json").write_bytes(orjson.dumps(config))
         (instance.folder / "operator.toml").write_text(operator_file)
--- a/sabledyke/testbed/deployment.py
+++ b/sabledyke/testbed/deployment.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from sabledyke.testbed import cluster
+from sabledyke.testbed.platform_settings import PLAN_DEFAULTS
 
 SHARD_COUNT = 4
 LATENCY_OBJECTIVE_MS = 300
@@ -21,7 +21,7 @@
 STOP_SENDING_WITHIN_MS = 300  # time in which a draining node may still get requests no other node can serve
 LIMITED_PLAN = "capped"
 
-TRAFFIC_SETTINGS: dict[str, Any] = {  # additions to cluster.DEFAULT_SETTINGS for a fleet with clients
+TRAFFIC_SETTINGS: dict[str, Any] = {  # changes to the default settings for a fleet with clients
     "kinds": ["m"],
     "zones": ["z"],
     "ceilings": {"try_limit": 3, "retry_after": True, "max_retry_after": 300, "cancel": True},
@@ -55,7 +55,7 @@
 
 
 def traffic_settings(node_warm_up_ms: int, volume_limit: float) -> dict[str, Any]:
-    """Return the settings of a fleet with clients.
+    """Return the changes to the default settings for a fleet with clients.
 
     Args:
         node_warm_up_ms: The warm-up time of a storage node.
@@ -67,7 +67,7 @@
         "stop_sending_within": STOP_SENDING_WITHIN_MS,
         "tip_multiple": OVERLOAD_MULTIPLE,
     }
-    settings = {**TRAFFIC_SETTINGS, "invariants": {**cluster.DEFAULT_SETTINGS["invariants"], **slow_start}}
+    settings = {**TRAFFIC_SETTINGS, "invariants": slow_start}
     if volume_limit:
         limited = {
             "name": LIMITED_PLAN,
@@ -75,5 +75,5 @@
             "ceiling_rate": volume_limit,
             "limit_burst": volume_limit,
         }
-        settings["grades"] = [*cluster.DEFAULT_SETTINGS["grades"], limited]
+        settings["grades"] = [PLAN_DEFAULTS, limited]
     return settings
--- a/tests/compatibility/test_config.py
+++ b/tests/compatibility/test_config.py
@@ -17,17 +17,17 @@
 STORED = orjson.loads((DATA / "config.json").read_bytes())
 NEXT = {"idempotent": "at_most_once", "deduplicated": "idempotent", "zone": "all", "cell": "all"}
 NEXT |= {"ready": "draining", "draining": "ready", "on_request": "push"}
-UNREAD = {"limits.cores", "known.whole"}  # keys whose values have no effect
-REQUIRED = set(
+UNREAD = set(  # keys whose values have no effect
     """
-    name listen discovery known.whole known.seq known.hosts.*.host known.hosts.*.block known.hosts.*.born_ms
-    known.hosts.*.share known.hosts.*.health known.hosts.*.dial settings.me settings.siblings
-    settings.discovery settings.profiles.*.name settings.profiles.*.aim settings.profiles.*.hard_limit
-    settings.profiles.*.credit settings.profiles.*.semantics settings.grades.*.name
-    settings.grades.*.usual_rate settings.ceilings.try_limit settings.family_info.usual_units
-    settings.family_info.units_top settings.family_info.fair_worth settings.family_info.spare_worth
-    settings.family_info.young_limit settings.invariants.cold_share settings.invariants.warm_up
-    settings.invariants.fall settings.invariants.answer_slack
+    limits.cores known.whole settings.tiers.0 settings.layer settings.period settings.weights settings.family
+    settings.ceilings.peers settings.ceilings.max_streams settings.family_info.n_shards
+    settings.invariants.ask_every settings.telemetry.how
+    """.split()
+)
+OPTIONAL = set(
+    """
+    console settings.profiles.*.keep_order settings.invariants.order_settle settings.invariants.look_back
+    settings.invariants.spare_attempts settings.invariants.repeat_ratio
     """.split()
 )
 
@@ -79,15 +79,15 @@
 
 
 @pytest.mark.parametrize("path", [p for p in _paths(STORED) if not p.rpartition(".")[2].isdigit()])
-def test_a_missing_key_is_rejected_or_has_a_default(path: str, tmp_path: Path) -> None:
+def test_a_missing_key_is_rejected_unless_it_is_optional(path: str, tmp_path: Path) -> None:
     data, pattern = copy.deepcopy(STORED), re.sub(r"\.\d+\.", ".*.", path)
     holder, key = _at(data, path)
     stored = holder.pop(key)
-    if pattern in REQUIRED:
+    if pattern not in OPTIONAL:
         with pytest.raises(settings.ConfigError, match=r"\A.*\Z"):  # a message of one line
             _read(data, tmp_path)
         return
-    is_default = path in UNREAD or stored is False  # optional flags have the default False
+    is_default = stored is False  # optional flags have the default False
     assert (_read(data, tmp_path) == _read(STORED, tmp_path)) == is_default
 
 
--- a/tests/store/test_killed_program.py
+++ b/tests/store/test_killed_program.py
@@ -97,6 +97,7 @@
             "listen": f"127.0.0.1:{self._port}",
             "discovery": "127.0.0.1:9",
             "seed": "1",
+            "limits": {"cores": 1, "memory_mb": 64, "sockets": 1024},
             "settings": self._settings,
             "known": {"seq": 1, "whole": True, "hosts": [entry]},
         }
--- a/tests/support/platform_config.py
+++ b/tests/support/platform_config.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import copy
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeAlias
 
 import orjson
 
 from tests.test_wire import SETTINGS_TEXT
 
 ROOT = Path(__file__).parent.parent.parent
+KeyPath: TypeAlias = tuple[str | int, ...]
 NO_NODES = {"seq": 41, "whole": True, "hosts": []}
 
 
@@ -39,10 +42,39 @@
         "listen": "127.0.0.1:8080",
         "discovery": "127.0.0.1:8500",
         "seed": "8c1f",
-        "limits": {"sockets": 1024},
+        "limits": {"cores": 1, "memory_mb": 64, "sockets": 1024},
         "known": NO_NODES,
         "settings": platform_settings(),
     }
     path = folder / "config.json"
     path.write_bytes(orjson.dumps(config | changes))
     return {"GW_CONFIG": str(path), "GW_LISTEN": "127.0.0.1:9090"}
+
+
+def example_config() -> dict[str, Any]:
+    """Return the example of a complete configuration file."""
+    config: dict[str, Any] = orjson.loads((ROOT / "deploy" / "config.example.json").read_bytes())
+    return config
+
+
+def key_paths(value: object, path: KeyPath = ()) -> Iterator[KeyPath]:
+    """Yield the path of every key in nested JSON, of tables as well as of the values inside them."""
+    items: Iterator[tuple[str | int, object]] = iter(())
+    if isinstance(value, dict):
+        items = iter(value.items())
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for key, inner in items:
+        if isinstance(key, str):
+            yield (*path, key)
+        yield from key_paths(inner, (*path, key))
+
+
+def without(config: dict[str, Any], path: KeyPath) -> dict[str, Any]:
+    """Return a copy of a configuration that lacks the key at a path."""
+    changed = copy.deepcopy(config)
+    holder: Any = changed
+    for step in path[:-1]:
+        holder = holder[step]
+    del holder[path[-1]]
+    return changed
--- a/tests/transcripts/support.py
+++ b/tests/transcripts/support.py
@@ -161,7 +161,7 @@
             "console": f"127.0.0.1:{self.console}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "1",
-            "limits": {"sockets": self._sockets},
+            "limits": {"cores": 1, "memory_mb": 64, "sockets": self._sockets},
             "settings": self._settings,
             "known": self.listing() if self._known else None,
         }
--- a/tests/transcripts/test_process_edge.py
+++ b/tests/transcripts/test_process_edge.py
@@ -39,7 +39,8 @@
 def valid_config() -> dict[str, Any]:
     """Return a valid configuration, with addresses at which no process listens."""
     addresses = {"listen": "127.0.0.1:9", "discovery": "127.0.0.1:9"}
-    return {"name": "n0", **addresses, "seed": "1", "limits": {"sockets": 256}, "settings": settings()}
+    limits = {"cores": 1, "memory_mb": 64, "sockets": 256}
+    return {"name": "n0", **addresses, "seed": "1", "limits": limits, "known": None, "settings": settings()}
 
 
 def run(folder: Path, case: dict[str, Any]) -> tuple[int, str, str]:
