Close the queues of an NVMe host together, once its commands are answered

Cause: the front end asks each connection whether it is idle and closes those that are. The admin queue of a host is idle as a rule, and its close takes the I/O queues of its controller with their commands along: the question was asked of the connection, the answer applied to the association.

Change: net/nvme_association.py ties the queues of a controller together. Each is idle, busy or closable as the association is, and the program closes them together. Commands that precede a violation in the same bytes are executed, and the termination request follows the answers.

Idle hosts are closed at the call.

The NVMe target now terminates on request (`terminate`), so the adapters of two tests call it; their assertions stay. The stand-in host checks each completion against its own command id, as its queues may work at once.

--- a/sabledyke/application/lifecycle.py
+++ b/sabledyke/application/lifecycle.py
@@ -100,8 +100,7 @@
                 "drain", f"{name} drains its clients, {self._assembly.core.unanswered} requests in flight"
             )
         for frontend in frontends:
-            frontend.quiesced = True
-            frontend.close_idle(self._loop.time())
+            frontend.quiesce()
 
     def resume(self) -> None:
         """Accept clients again after a drain."""
@@ -109,7 +108,7 @@
         if frontends[0].quiesced:
             log.emit("drain", f"{self._assembly.config.name} accepts clients again")
         for frontend in frontends:
-            frontend.quiesced = False
+            frontend.resume()
 
     def begin_shutdown(self, *, planned: bool = False) -> None:
         """Begin a graceful shutdown; later calls have no effect.
--- a/sabledyke/net/client_connection.py
+++ b/sabledyke/net/client_connection.py
@@ -10,6 +10,7 @@
 from sabledyke.net import streams
 
 REQUEST_TIMEOUT_S = 2.25  # time for the first request after connecting, and for each partly received request
+CLOSE_DELAY_S = 0.25  # delay between half-close and close, for the client to read its last answer
 
 Submit = Callable[[ClientRequest, Callable[[Answer], None]], int]
 
@@ -87,12 +88,31 @@
         """Close the connection, after an error answer where a request was partly received."""
         self.close()
 
-    def stop_reading(self) -> None:  # noqa: B027 - a protocol may have nothing to do here
+    def close_together(self) -> None:
+        """Close the connection, and all others that its client cannot use without it."""
+        self.close()
+
+    @abstractmethod
+    def stop_reading(self) -> None:
         """Stop reading from the connection; requests that were read are still answered."""
 
-    def reject_partial_request(self) -> None:  # noqa: B027
+    def reject_partial_request(self) -> None:  # noqa: B027 - a protocol may have nothing to do here
         """Reject a partly received request, after reading has stopped."""
 
+    def finish_sending(self) -> None:
+        """Close a connection whose last answer is written.
+
+        Guards against losing that answer: if the client has sent more, a close would reset the connection
+        before the client reads the answer. The connection is therefore half-closed, and closed after
+        ``CLOSE_DELAY_S``. Further input stays unread: a request that is read but not answered would be lost,
+        whereas the client sends an unread one again.
+        """
+        self.stop_reading()
+        if streams.is_open_without_input(self.stream) or not streams.half_close(self.stream):
+            self.close()
+            return
+        asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self.close)
+
     def close(self) -> None:
         """Close the connection and cancel its requests."""
         streams.abort(self.stream)
--- a/sabledyke/net/frontend.py
+++ b/sabledyke/net/frontend.py
@@ -45,8 +45,7 @@
         write_timeout_s: Time for a client to read an answer, in seconds.
         shutdown: The graceful shutdown, once one was requested.
         closing: True once no further connection is admitted.
-        quiesced: True while operators drain the scheduler: health checks fail, and each connection closes
-            after its answer.
+        quiesced_at_s: Event loop time at which operators began to drain the scheduler; None without a drain.
         clients: The connections, in ascending order of last use.
     """
 
@@ -65,7 +64,7 @@
         self.write_timeout_s = inf
         self.shutdown: GracefulShutdown | None = None
         self.closing = False
-        self.quiesced = False
+        self.quiesced_at_s: float | None = None
         self.clients: OrderedDict[ClientConnection, None] = OrderedDict()
         self._make_connection = make_connection
         self._pending_handshakes: set[asyncio.Task[None]] = set()
@@ -81,6 +80,11 @@
         """
         return self.shutdown is None and len(self.clients) > self.crowded_above
 
+    @property
+    def quiesced(self) -> bool:
+        """True during a drain: health checks fail, and each connection closes after its answer."""
+        return self.quiesced_at_s is not None
+
     @property
     def shutting_down(self) -> bool:
         """True once a graceful shutdown was requested."""
@@ -120,6 +124,20 @@
         if client in self.clients:
             self.clients.move_to_end(client)
 
+    def quiesce(self) -> None:
+        """Begin a drain: close idle connections now, and busy ones after their answers.
+
+        A second call has no effect on the drain.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self.quiesced_at_s is None:
+            self.quiesced_at_s = now_s
+        self.close_idle(now_s)
+
+    def resume(self) -> None:
+        """End a drain."""
+        self.quiesced_at_s = None
+
     def close_idle(self, now_s: float, poll_interval_s: float = 0.0) -> None:
         """Close connections that are idle without unread bytes: all of them, or those the shutdown selects.
 
@@ -139,7 +157,7 @@
             if self.shutdown is not None and not self.shutdown.closes_idle(now_s, poll_interval_s):
                 continue
             if client.closable:
-                client.close()
+                client.close_together()
 
     def stop_reading(self) -> None:
         """Stop reading from all connections, as the program stops."""
@@ -202,7 +220,7 @@
         log.emit("front", f"{len(self.clients)} {self.name} clients: closed {closed}")
         if evicted is None:
             return False
-        evicted.close()
+        evicted.close_together()
         return True
 
     def _find_evictable(self) -> ClientConnection | None:
@@ -238,11 +256,26 @@
             overdue = now_s - client.last_activity_s > client.timeout_s(idle_timeout_s)
             if overdue and (client.busy or not client.has_unread_input):  # unread bytes are processed first
                 client.on_timeout()
+        if self.quiesced:
+            self._close_drained(now_s)
         if self.clients:
             self._schedule_sweep()
         else:
             self._sweep_timer = None
 
+    def _close_drained(self, now_s: float) -> None:
+        """Close connections that are idle in a drain, although no answer closes them.
+
+        Guards against holding the queues of an NVMe host that connected after the drain began, or whose last
+        command was never completed. A new connection is kept for ``FIRST_REQUEST_GRACE_S``.
+        """
+        spared_since_s = now_s - FIRST_REQUEST_GRACE_S
+        for client in list(self.clients):
+            if client.never_requested or client.last_activity_s > spared_since_s:
+                continue
+            if client.closable:
+                client.close_together()
+
     def _remove(self, client: ClientConnection) -> None:
         self.clients.pop(client, None)
 
--- a/sabledyke/net/http_frontend.py
+++ b/sabledyke/net/http_frontend.py
@@ -15,7 +15,6 @@
 from sabledyke.protocol.http import MAX_INPUT_BYTES, HttpError, HttpMessage, HttpParser, encode_response
 from sabledyke.protocol.request_ids import RequestIds
 
-CLOSE_DELAY_S = 0.25  # delay between half-close and close, for the client to read its last answer
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -216,7 +215,7 @@
             self.last_activity_s = asyncio.get_running_loop().time()
             self._frontend.response_memory.used_bytes -= len(data)
             if last:
-                self._finish_sending()
+                self.finish_sending()
             elif not self.stream.closed():
                 self._continue_after_answer()
 
@@ -228,20 +227,6 @@
         except HttpError as error:
             self._reject_bad_request(error)
 
-    def _finish_sending(self) -> None:
-        """Close a connection whose last answer is written.
-
-        Guards against losing that answer: if the client has sent more, a close would reset the connection
-        before the client reads the answer. The connection is therefore half-closed, and closed after
-        ``CLOSE_DELAY_S``. Further input stays unread: a request that is read but not answered would be lost,
-        whereas the client sends an unread one again.
-        """
-        self.stop_reading()
-        if streams.is_open_without_input(self.stream) or not streams.half_close(self.stream):
-            self.close()
-            return
-        asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self.close)
-
     def _reject_bad_request(self, error: HttpError) -> None:
         """Close the connection after an error answer; at once if another request is being answered."""
         log.emit("front", f"a client sent a bad request: {error}")
--- a/sabledyke/net/nvme_extension.py
+++ b/sabledyke/net/nvme_extension.py
@@ -8,6 +8,7 @@
 from sabledyke.application.extensions import Extension, ServerContext
 from sabledyke.net.frontend import Frontend
 from sabledyke.net.link import Dial
+from sabledyke.net.nvme_association import Associations
 from sabledyke.net.nvme_frontend import NvmeClientConnection
 from sabledyke.net.nvme_link import NvmeDialer
 from sabledyke.net.nvme_section import NvmeSection
@@ -41,11 +42,12 @@
             context.connect,
             context.connect_slack_ms,
         )
+        associations = Associations()
         self._frontend = Frontend(
             "NVMe",
             section.connections,
             lambda frontend, stream: NvmeClientConnection(
-                frontend, stream, translator, context.submit, context.on_client_disconnected
+                frontend, stream, translator, associations, context.submit, context.on_client_disconnected
             ),
             context.response_memory,
         )
--- a/sabledyke/protocol/nvme/target.py
+++ b/sabledyke/protocol/nvme/target.py
@@ -69,6 +69,7 @@
         queue_id: The queue that the connection carries; negative before it is connected.
         keep_alive_ms: Time without a command after which the host counts as failed; 0 for never.
         pdus_received: Number of complete PDUs received.
+        violation: The host's violation of the protocol; None without one.
     """
 
     def __init__(self, subsystem: Subsystem) -> None:
@@ -78,6 +79,7 @@
         self.queue_id = _NOT_CONNECTED
         self.keep_alive_ms = 0
         self.pdus_received = 0
+        self.violation: NvmeError | None = None
         self._parser = PduParser()
         self._initialized = False  # the ICReq was answered
         self._transfers: dict[int, _WriteTransfer] = {}  # by command id
@@ -102,10 +104,12 @@
         """Process received bytes.
 
         Returns:
-            The reads, and the writes with their data, which the caller has to execute and complete.
+            The reads, and the writes with their data, which the caller has to execute and complete; those
+            that precede a violation of the protocol in ``data`` as well.
 
         Raises:
-            NvmeError: The host violated the protocol. The caller writes ``output`` and closes the connection.
+            NvmeError: The host violated the protocol, and no read or write precedes that in ``data``. The
+                caller completes outstanding commands, calls ``terminate`` and closes the connection.
         """
         self._parser.feed(data)
         submissions: list[Submission] = []
@@ -114,10 +118,16 @@
                 self.pdus_received += 1
                 submissions += self._on_pdu(pdu)
         except NvmeError as error:
-            self.output += encode_termination(error)
-            raise
+            self.violation = error
+            if not submissions:
+                raise
         return submissions
 
+    def terminate(self) -> None:
+        """Notify the host that the connection is terminated because of its violation of the protocol."""
+        if self.violation is not None:
+            self.output += encode_termination(self.violation)
+
     def complete(self, completion: Completion, data: bytes = b"") -> None:
         """Answer a command that ``feed`` returned; a completion of any other command is ignored.
 
--- a/tests/protocol/test_nvme_connection.py
+++ b/tests/protocol/test_nvme_connection.py
@@ -40,6 +40,7 @@
         for chunk in pieces(host_bytes, sizes):
             target.feed(chunk)
     except nvme.NvmeError:
+        target.terminate()
         assert nvme.PduType.C2H_TERM in target.output
     target.close()
     assert not target.subsystem.controllers
--- a/tests/standins/nvme_host.py
+++ b/tests/standins/nvme_host.py
@@ -31,11 +31,12 @@
 
 
 class NvmeHost:
-    """A host with one I/O queue and at most one command in flight.
+    """A host with one I/O queue and at most one command in flight on each queue.
 
     Attributes:
         result: Dword 0 and 1 of the last completion.
         cntlid: The controller identifier that Connect returned.
+        admin_queue: Reader and writer of the admin queue's connection.
         io: Reader and writer of the I/O queue's connection.
     """
 
@@ -46,26 +47,35 @@
 
     async def open(self) -> None:
         """Connect to the controller, enable it and create the I/O queue."""
-        self._admin = await self._connect_queue(0, NEW_CONTROLLER)
+        self.admin_queue = await self._connect_queue(0, NEW_CONTROLLER)
         self.cntlid = self.result & 0xFFFF
         enable = (0, PROPERTY_CONFIGURATION, ENABLE)
-        assert await self.command(self._admin, OPCODE_FABRICS, FABRICS_PROPERTY_SET, words=enable) == (0, b"")
+        assert await self.command(self.admin_queue, OPCODE_FABRICS, FABRICS_PROPERTY_SET, words=enable) == (
+            0,
+            b"",
+        )
         status, _ = await self.command(
-            self._admin, OPCODE_FABRICS, FABRICS_PROPERTY_GET, words=(0, PROPERTY_STATUS)
+            self.admin_queue, OPCODE_FABRICS, FABRICS_PROPERTY_GET, words=(0, PROPERTY_STATUS)
         )
         assert status == 0
         assert self.result & 1
-        status, _ = await self.command(self._admin, OPCODE_SET_FEATURES, words=(FEATURE_NUMBER_OF_QUEUES, 0))
+        status, _ = await self.command(
+            self.admin_queue, OPCODE_SET_FEATURES, words=(FEATURE_NUMBER_OF_QUEUES, 0)
+        )
         assert status == 0
         self.io = await self._connect_queue(1, self.cntlid)
 
+    async def add_io_queue(self, number: int) -> tuple[Reader, Writer]:
+        """Create a further I/O queue; return its reader and writer."""
+        return await self._connect_queue(number, self.cntlid)
+
     async def identify(self, cns: int, nsid: int = 0) -> tuple[int, bytes]:
         """Send Identify with this CNS value; return its status and data."""
-        return await self.command(self._admin, OPCODE_IDENTIFY, nsid, size=4096, words=(cns,))
+        return await self.command(self.admin_queue, OPCODE_IDENTIFY, nsid, size=4096, words=(cns,))
 
     async def admin(self, opcode: int, words: tuple[int, ...] = ()) -> int:
         """Send an admin command; return its status."""
-        status, _ = await self.command(self._admin, opcode, words=words)
+        status, _ = await self.command(self.admin_queue, opcode, words=words)
         return status
 
     async def read(self, nsid: int, slba: int, count: int) -> tuple[int, bytes]:
@@ -107,8 +117,9 @@
         """
         reader, writer = queue
         self._command_id += 1
+        command_id = self._command_id
         sgl = (len(in_capsule_data), SGL_IN_CAPSULE) if in_capsule_data else (size, SGL_BY_TRANSPORT)
-        entry = struct.pack("<BBHIQQQI3xB", opcode, SGL_TRANSFER, self._command_id, nsid, key, 0, 0, *sgl)
+        entry = struct.pack("<BBHIQQQI3xB", opcode, SGL_TRANSFER, command_id, nsid, key, 0, 0, *sgl)
         writer.write(pdu(Pdu.COMMAND, entry + struct.pack(f"<{len(words)}I", *words), in_capsule_data))
         data = b""
         while True:
@@ -119,11 +130,11 @@
                 data += part
             else:
                 assert kind == Pdu.RESPONSE, kind
-                return self._status(header), data
+                return self._status(header, command_id), data
 
     def close(self) -> None:
         """Close both queues."""
-        for _, writer in (self._admin, self.io):
+        for _, writer in (self.admin_queue, self.io):
             writer.close()
 
     async def _connect_queue(self, number: int, cntlid: int) -> tuple[Reader, Writer]:
@@ -149,7 +160,7 @@
         header = struct.pack("<HHII", command_id, transfer_tag, offset, length)
         writer.write(pdu(Pdu.HOST_TO_CONTROLLER_DATA, header, data, LAST_PDU))
 
-    def _status(self, header: bytes) -> int:
+    def _status(self, header: bytes, sent_command_id: int) -> int:
         self.result, _, _, command_id, field = struct.unpack("<QHHHH", header)
-        assert command_id == self._command_id
+        assert command_id == sent_command_id
         return int(field >> 1)
--- a/tests/transcripts/nvme_names.py
+++ b/tests/transcripts/nvme_names.py
@@ -43,6 +43,7 @@
         except NvmeError:
             commands = []
         self.pending += [(command.command_id, payload) for command, payload in commands]
+        self._target.terminate()
         return self.take_output()
 
     def take_output(self) -> bytes:
