Complete the limits in the configuration of the benchmarks

Cause: a configuration file must contain all limits, and the benchmarks' file had only memory_mb. Change: cores and sockets, the latter with the former default of 1,024. Result: config.load accepts the file that benchmarks.program writes; no benchmark was played.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -8,6 +8,7 @@
 
 NODE_COUNT = 4
 MEMORY_MB = 192
+SOCKETS = 1024
 READ_CLASS = {
     "name": "read",
     "semantics": "idempotent",
--- a/benchmarks/program.py
+++ b/benchmarks/program.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from benchmarks.deployment import MEMORY_MB, settings
+from benchmarks.deployment import MEMORY_MB, SOCKETS, settings
 from benchmarks.nodes import NodeProcess
 
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -106,7 +106,7 @@
         "discovery": f"127.0.0.1:{nodes.discovery_port}",
         "settings": settings(),
         "known": nodes.listing,
-        "limits": {"memory_mb": MEMORY_MB},
+        "limits": {"cores": 1, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
     }
     (folder / "config.json").write_bytes(orjson.dumps(config))
     if not operator_file:
