--- a/sabledyke/net/nvme_association.py
+++ b/sabledyke/net/nvme_association.py
@@ -13,6 +13,7 @@
 from sabledyke.protocol.nvme import Controller
 
 ANSWER_POLL_INTERVAL_S = 0.02  # interval between checks whether all commands are answered
+DRAIN_ACCEPT_S = 1.0  # time in a drain for which a constantly busy host's new commands are accepted
 
 
 class AssociatedQueue(Protocol):
@@ -87,6 +88,17 @@
         """True if bytes, or the end of the stream, have arrived on any queue that are not processed."""
         return any(queue.queue_has_unread_input for queue in self.queues)
 
+    def accepts_commands(self, now_s: float, drained_at_s: float | None) -> bool:
+        """Return whether a new command is accepted.
+
+        Args:
+            now_s: The event loop's time.
+            drained_at_s: Time at which a drain began; None without a drain.
+        """
+        if self.ending or drained_at_s is None:
+            return not self.ending
+        return now_s <= max(drained_at_s, self.began_at_s) + DRAIN_ACCEPT_S
+
     def others_busy(self, queue: AssociatedQueue) -> bool:
         """Return whether any queue but this one has a command in flight or writes output."""
         return any(other.queue_busy for other in self.queues if other is not queue)
--- a/sabledyke/net/nvme_frontend.py
+++ b/sabledyke/net/nvme_frontend.py
@@ -17,7 +17,6 @@
 from sabledyke.protocol.nvme.blocks import Translator
 
 ERROR_WRITE_TIMEOUT_S = 1.0  # time for a host to read the error that closes its queue
-DRAIN_ACCEPT_S = 1.0  # time in a drain for which a constantly busy host's new commands are accepted
 
 
 class NvmeClientConnection(ClientConnection):
@@ -206,21 +205,16 @@
         self._request_ids[command.command_id] = self._submit(request, on_answer)
 
     def _rejects_commands(self) -> bool:
-        """Return whether new commands are rejected, because the association ends.
+        """Return whether new commands are rejected, because the program or the association ends.
 
         Guards against a constantly busy host that delays a shutdown or a drain.
         """
-        association = self._association
-        if self._frontend.rejects_requests or (association is not None and association.ending):
+        if self._frontend.rejects_requests:
             return True
-        return self._drain_accepts_no_more()
-
-    def _drain_accepts_no_more(self) -> bool:
-        association, drained_at_s = self._association, self._frontend.quiesced_at_s
-        if association is None or drained_at_s is None:
+        if self._association is None:
             return False
-        accept_until_s = max(drained_at_s, association.began_at_s) + DRAIN_ACCEPT_S
-        return asyncio.get_running_loop().time() > accept_until_s
+        now_s = asyncio.get_running_loop().time()
+        return not self._association.accepts_commands(now_s, self._frontend.quiesced_at_s)
 
     def _closes_with_commands_of_others(self) -> bool:
         """Return whether a close of this queue would close others that have commands in flight."""
@@ -289,7 +283,7 @@
         association = self._association
         if self.closable:
             self.close_together()
-        elif association is not None and not association.ending and self._drain_accepts_no_more():
+        elif association is not None and not association.ending and self._rejects_commands():
             self._ending = asyncio.get_running_loop().create_task(association.end())
 
     async def _flush_error(self) -> None:
--- a/tests/net/test_nvme_associations.py
+++ b/tests/net/test_nvme_associations.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from sabledyke.net import frontend, nvme_frontend
+from sabledyke.net import frontend, nvme_association, nvme_frontend
 from sabledyke.net.nvme_frontend import NvmeClientConnection
 from sabledyke.protocol.nvme import Completion
 from tests.standins import NvmeHost, http
@@ -75,7 +75,7 @@
     busy.host.io[1].write(UNKNOWN_PDU)
 
 
-async def silence(busy: Busy) -> None:
+async def keep_alive_timeout(busy: Busy) -> None:
     """Shorten the keep-alive time, so that it passes while the write is in flight."""
     admin = next(queue for queue in queues(busy.rig) if queue.target.queue_id == 0)
     admin.target.keep_alive_ms = 100
@@ -106,7 +106,7 @@
         half_io_command,
         bad_admin_bytes,
         bad_io_bytes,
-        silence,
+        keep_alive_timeout,
         unread_admin_answers,
     ],
     ids=lambda trigger: trigger.__name__,
@@ -125,7 +125,7 @@
         if trigger not in (crowd, crowd_behind_half_admin_command):
             async with asyncio.timeout(DRAIN_LIMIT_S):
                 await busy.host.io[0].read()  # until the association, or its I/O queue, ends
-        if trigger in (drain, bad_admin_bytes, silence):
+        if trigger in (drain, bad_admin_bytes, keep_alive_timeout):
             assert not rig.server.frontends[1].clients
             assert not queues(rig)
         for writer in (*busy.crowd, busy.host.io[1], busy.host.admin_queue[1]):
@@ -182,7 +182,7 @@
 
 def test_a_drain_ends_a_host_that_always_has_a_command_in_flight(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each command that a node got is answered; later ones are rejected, until none is in flight."""
-    monkeypatch.setattr(nvme_frontend, "DRAIN_ACCEPT_S", 0.3)
+    monkeypatch.setattr(nvme_association, "DRAIN_ACCEPT_S", 0.3)
     statuses: list[int] = []
     cut_off: list[str] = []
 
@@ -241,7 +241,7 @@
     play(scenario)
 
 
-def test_at_the_limit_idle_hosts_are_evicted_as_a_whole() -> None:
+def test_at_the_limit_an_idle_host_is_evicted_with_all_its_queues() -> None:
     async def scenario(rig: Rig) -> None:
         rig.server.frontends[1].max_clients = 4
         idle = await rig.host()
