--- a/review/rig.py
+++ b/review/rig.py
@@ -41,6 +41,10 @@
         """Add a line with the seconds since the start."""
         self._lines.append(f"{time.monotonic() - self._began:8.3f} {text}")
 
+    def count(self, text: str) -> int:
+        """Return the number of lines that contain a text."""
+        return sum(text in line for line in self._lines)
+
     def write(self) -> None:
         """Write the file."""
         self._path.write_text("\n".join(self._lines) + "\n", encoding="utf-8")
@@ -82,6 +86,11 @@
     return "\r\n".join(lines).encode() + body
 
 
+def has_input(reader: asyncio.StreamReader) -> bool:
+    """Return whether bytes have come that nobody has read yet."""
+    return bool(reader._buffer)  # noqa: SLF001 - a reader has no other way to tell
+
+
 Handler = Callable[[Message, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -119,6 +128,46 @@
             writer.close()
 
 
+class Wire:
+    """A proxy that passes all bytes on after the time that they take one way."""
+
+    def __init__(self, target: int, one_way_s: float) -> None:
+        self.port = 0
+        self._target = target
+        self._one_way_s = one_way_s
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._target)
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._carry(source, sink))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _carry(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await source.read(1 << 16):
+                loop.call_later(self._one_way_s, sink.write, data)
+        except ConnectionError:
+            pass
+        finally:
+            loop.call_later(self._one_way_s, sink.close)
+
+
 class Discovery(Service):
     """Answers with the whole list, and watches with the changes since."""
 
