--- a/review/rig.py
+++ b/review/rig.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import ssl
 import sys
 import tempfile
 import time
@@ -97,16 +98,18 @@
 class Service:
     """A server on a free loopback port that passes each request of a connection to ``handle``."""
 
-    def __init__(self, handle: Handler, host: str = "127.0.0.1") -> None:
+    def __init__(self, handle: Handler, ssl_context: ssl.SSLContext | None = None) -> None:
         self.handle = handle
-        self.host = host
         self.port = 0
+        self._ssl_context = ssl_context
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, self.host, 0, limit=1 << 20)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, limit=1 << 20, ssl=self._ssl_context
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
