Review case 8: two schedulers act at once after a reset during a planned restart

Cause: a call's connection that is reset (ECONNRESET) counts as an act that has ended, so that a holder that leaves releases its lease while the service is at work.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,106 +1,115 @@
-"""A node that is reached by TLS dies within an answer: the client is served the part as if it were whole."""
+"""A planned restart while the record's database commits slowly: writes that ran end without an answer."""
 
 from __future__ import annotations
 
 import asyncio
+import os
+import random
 import secrets
+import signal
 import sys
+import tempfile
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path[:0] = [str(FOLDER), str(FOLDER.parent), str(FOLDER.parent.parent)]
+sys.path[:0] = [str(FOLDER.parent), str(FOLDER.parent.parent)]
 
-import node  # noqa: E402
 import rig  # noqa: E402
 
-from tests.standins.keys import Authority  # noqa: E402
-
-READS = 4
-ROUNDS = 3
-OPERATOR = '[tls]\nroots = "FOLDER/roots.pem"\nname = "{host}"\n'
-
-
-class NodeProcess:
-    """The node as a process of its own, which can be killed."""
-
-    def __init__(self, pair: Path) -> None:
-        self.port = 0
-        self._pair = pair
-        self._process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Start it at a free port."""
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable, str(FOLDER / "node.py"), str(self._pair), stdout=asyncio.subprocess.PIPE
-        )
-        assert self._process.stdout is not None
-        self.port = int(await asyncio.wait_for(self._process.stdout.readline(), 10.0))
-
-    async def kill(self) -> None:
-        """Kill it."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
+from tests.standins.postgres import Postgres  # noqa: E402
+from tests.standins.postgres_faults import FaultPoint  # noqa: E402
+
+CLIENTS = 32
+COMMIT_S = 0.2  # the operators' page calls a batch a stall from 250 ms on
+# TROUBLE=term and TROUBLE=slow play one disruption alone.
+RESTARTS = rig.TROUBLE and os.environ.get("TROUBLE") != "slow"
+SLOW = rig.TROUBLE and os.environ.get("TROUBLE") != "term"
+
+
+class Writers:
+    """Clients that write without pause, each write with a key of its own."""
+
+    def __init__(self, scheduler: rig.Scheduler, record: rig.Record) -> None:
+        self.fates: list[rig.Sent] = []
+        self.restart_begun = False  # from then on clients open no further connections
+        self._scheduler = scheduler
+        self._record = record
+
+    async def use(self, number: int) -> None:
+        """Be one client."""
+        client = rig.Client(self._scheduler.port, self._record)
+        while client.connected or not self.restart_begun:
+            if not client.connected:
+                await client.connect()
+            ident = secrets.token_hex(8)
+            data = rig.request_bytes(ident, "scontrino", number % 3, 5.0, number, b"x" * 200, f"k-{ident}")
+            self.fates.append(await client.ask(ident, data, 6.0))
+            await asyncio.sleep(random.uniform(0.0, 0.4))
+
+
+async def restart(scheduler: rig.Scheduler, record: rig.Record) -> None:
+    """Restart as planned, with SIGKILL later than the platform's earliest."""
+    scheduler.send(signal.SIGTERM)
+    ended = await scheduler.wait(4.5)
+    record.add(f"4.5 s after SIGTERM, or earlier: the scheduler's status is {ended}")
+    if ended is None:
+        scheduler.send(signal.SIGKILL)
+    await asyncio.sleep(0.3)
 
 
-async def read(scheduler: rig.Scheduler, record: rig.Record) -> rig.Sent:
-    """Read the node's piece."""
-    client = rig.Client(scheduler.port, record)
-    await client.connect()
-    ident = secrets.token_hex(8)
-    sent = await client.ask(ident, rig.request_bytes(ident, "lettura", 0, 5.0, 1), 6.0)
-    record.add(f"client {ident}: {len(sent.body)} of {len(node.whole())} bytes")
-    client.close()
-    return sent
+async def commit_slowly(point: FaultPoint) -> None:
+    """Delay each commit of the database."""
+    if SLOW and (point.stage, point.label) == ("before", "COMMIT"):
+        await asyncio.sleep(COMMIT_S)
 
 
-async def play(scheduler: rig.Scheduler, process: NodeProcess, record: rig.Record) -> list[rig.Sent]:
-    """Read a few times at once; the node dies within the answers."""
-    warm = await read(scheduler, record)  # the first handshake, and an answer that is not disturbed
-    reads = [asyncio.create_task(read(scheduler, record)) for _ in range(READS)]
-    await asyncio.sleep(0.3)
-    if rig.TROUBLE:
-        record.add("SIGKILL to the node")
-        await process.kill()
-    return [warm, *await asyncio.gather(*reads)]
+async def case(record: rig.Record) -> int:
+    """Write, restart as planned, and look for writes that ran and were never answered."""
+    ran: set[str] = set()
 
+    async def serve(message: rig.Message, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(random.uniform(0.01, 0.06))
+        ran.add(message.headers["req-id"])
+        record.add(f"node ran {message.headers['req-id']}")
+        writer.write(rig.answer(200, message.body))
 
-async def one_round(record: rig.Record) -> list[rig.Sent]:
-    """Start a node and a scheduler, and play."""
     discovery = rig.Discovery()
-    await discovery.open()
-    scheduler = rig.Scheduler(record, discovery, rig.settings(), OPERATOR)
-    root = Authority()
-    chain, key = root.issue("s-00000000")
-    (scheduler.folder / "roots.pem").write_bytes(root.root)
-    pair = scheduler.folder / "pair.pem"
-    pair.touch(0o600)
-    pair.write_bytes(key + b"\n" + chain)
-    process = NodeProcess(pair)
+    nodes = await rig.serve_nodes(discovery, [serve] * 3)
+    folder = tempfile.TemporaryDirectory(prefix="review-")
+    postgres = Postgres(f"{folder.name}/database.sqlite3", script=commit_slowly)
+    await postgres.open()
+    os.environ["SABLEDYKE_STORE_PASSWORD"] = "secret"
+    operator = f'[store]\nurl = "postgresql://sabledyke@127.0.0.1:{postgres.port}/record"\n'
+    scheduler = rig.Scheduler(record, discovery, rig.settings(), operator)
+    writers = Writers(scheduler, record)
+    clients: list[asyncio.Task[None]] = []
     try:
-        await process.start()
-        discovery.add("s-00000000", process.port, 0)
         await scheduler.start()
-        return await play(scheduler, process, record)
+        clients = [asyncio.create_task(writers.use(number)) for number in range(CLIENTS)]
+        await asyncio.sleep(3.0)
+        if RESTARTS:
+            writers.restart_begun = True
+            await restart(scheduler, record)
+        else:
+            await asyncio.sleep(4.0)
     finally:
-        await process.kill()
+        await rig.stop(clients)
         await scheduler.end()
-        discovery.close()
-
-
-async def case(record: rig.Record) -> int:
-    """Look for answers that are served although they are not whole."""
-    sent = [one for _ in range(ROUNDS) for one in await one_round(record)]
-    served = [one for one in sent if one.fate == "200"]
-    cut = [one for one in served if one.body != node.whole()]
-    for one in cut:
-        record.add(f"WRONG DATA: {one.ident} was served {len(one.body)} bytes with status 200, as if whole")
-    summary = f"{len(sent)} reads, {len(served)} answered 200, {len(cut)} of these with a part of the data"
+        await postgres.end()
+        for service in (*nodes, discovery):
+            service.close()
+        folder.cleanup()
+    lost = [sent for sent in writers.fates if sent.fate in ("closed", "silent") and sent.ident in ran]
+    for sent in lost:
+        ended_s = sent.ended_at - sent.sent_at
+        record.add(f"LOST: {sent.ident} ran; no answer, its connection was {sent.fate} after {ended_s:.3f} s")
+    served = sum(sent.fate == "200" for sent in writers.fates)
+    summary = f"{len(writers.fates)} writes, {served} served, {len(lost)} that ran were never answered"
     record.add(summary)
     print(summary)
-    if len(served) == len(cut):
+    if not served:
         return rig.COULD_NOT_RUN
-    return rig.BROKEN if cut else rig.HELD
+    return rig.BROKEN if lost else rig.HELD
 
 
 rig.run_case(FOLDER, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,11 +1,14 @@
-"""Nodes answer some requests twice, the second time a little late: a client gets a foreign answer."""
+"""The connection of a duty's call is reset during a planned restart: two schedulers act at the same time."""
 
 from __future__ import annotations
 
 import asyncio
-import random
-import secrets
+import os
+import signal
 import sys
+import tempfile
+import time
+from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,92 +16,126 @@
 
 import rig  # noqa: E402
 
-CLIENTS = 10
-NODES = 3
-SECONDS = 12.0
-ONE_WAY_S = 0.001  # BRIEF: 0.7 to 1.3 ms one way between the rooms
-DOUBLED_SHARE = 0.05 if rig.TROUBLE else 0.0
-SECOND_AFTER_S = 0.003
-PIECES = 1000
+ACT_S = 1.7  # and never longer than Lease-Remaining-Ms
+TERM_AFTER_S = 0.2  # after the beginning of an act
+RESET_AFTER_S = 0.4
+# TROUBLE=term and TROUBLE=reset play one disruption alone.
+RESTARTS = rig.TROUBLE and os.environ.get("TROUBLE") != "reset"
+RESETS = rig.TROUBLE and os.environ.get("TROUBLE") != "term"
+OPERATOR = """
+[lease]
+path = "{folder}/leases.sqlite3"
+[[lease.duty]]
+name = "sweep"
+kind = "call"
+url = "http://127.0.0.1:{port}/sweep"
+every_s = 2
+"""
 
 
-class Node:
-    """A node that echoes the id of a request, and some answers twice if nothing else waits then."""
+@dataclass
+class Act:
+    """One act of the duty."""
 
-    def __init__(self, name: str, record: rig.Record) -> None:
-        self.doubled = 0
-        self._name = name
+    holder: str
+    token: int
+    began_at: float
+    ends_at: float
+
+
+class SweepService:
+    """The called service: it works on each call to its end, and rejects tokens older than the latest."""
+
+    def __init__(self, record: rig.Record) -> None:
+        self.acts: list[Act] = []
+        self.both_ready = False
+        self.reset_act: Act | None = None
         self._record = record
 
-    async def handle(
-        self, message: rig.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer one request; the second answer is sent only while no byte of a next request has come."""
-        ident = message.headers["req-id"]
-        await asyncio.sleep(random.uniform(0.001, 0.004))
-        whole = rig.answer(200, f"data of {ident}".encode())
-        writer.write(whole)
-        self._record.add(f"{self._name} ran {ident}")
-        if random.random() >= DOUBLED_SHARE:
+    async def handle(self, call: rig.Message, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Run one act; the connection of the first one is reset while the service works on."""
+        token = int(call.headers["lease-token"])
+        if token < max((act.token for act in self.acts), default=0):
+            writer.write(rig.answer(409))
             return
-        await asyncio.sleep(SECOND_AFTER_S)
-        if not rig.has_input(reader):
-            self.doubled += 1
-            self._record.add(f"{self._name} answers {ident} a second time")
-            writer.write(whole)
-
-
-async def read_without_pause(scheduler: rig.Scheduler, record: rig.Record, wrong: list[str]) -> None:
-    """Be a client that reads one piece after the other, and compares each answer with its own request."""
-    client = rig.Client(scheduler.port, record)
-    while True:
-        if not client.connected:
-            await client.connect()
-        ident = secrets.token_hex(8)
-        piece = random.randrange(PIECES)
-        data = rig.request_bytes(ident, "lettura", piece % NODES, 5.0, piece)
-        sent = await client.ask(ident, data, 6.0)
-        if sent.fate == "200" and sent.body != f"data of {ident}".encode():
-            wrong.append(ident)
-            record.add(f"FOREIGN: the answer to {ident} is {sent.body.decode()!r}")
-        await asyncio.sleep(random.uniform(0.0, 0.08))
+        length_s = min(ACT_S, 0.9 * float(call.headers["lease-remaining-ms"]) / 1000)
+        began = time.monotonic()
+        act = Act(call.headers["lease-holder"].partition(".")[0], token, began, began + length_s)
+        self.acts.append(act)
+        remaining_ms = call.headers["lease-remaining-ms"]
+        self._record.add(
+            f"act {len(self.acts)} begins: {act.holder}, token {token}, {remaining_ms} ms remain"
+        )
+        if RESETS and self.both_ready and self.reset_act is None:
+            self.reset_act = act
+            await asyncio.sleep(RESET_AFTER_S)
+            self._record.add(f"the connection of {act.holder}'s act is reset; the act goes on")
+            rig.reset(writer)
+        await asyncio.sleep(max(0.0, act.ends_at - time.monotonic()))
+        self._record.add(f"an act of {act.holder}, token {token}, ends after {length_s:.2f} s")
+        writer.write(rig.answer(200))
+
+
+def overlaps(acts: list[Act]) -> list[tuple[Act, Act]]:
+    """Return the pairs of acts of two schedulers of which one began while the other was at work."""
+    return [
+        (first, second)
+        for first in acts
+        for second in acts
+        if first.holder != second.holder and first.began_at <= second.began_at < first.ends_at
+    ]
+
+
+async def play(schedulers: dict[str, rig.Scheduler], service: SweepService) -> None:
+    """Restart the holder in the middle of its first act, then watch for some seconds."""
+    for scheduler in schedulers.values():
+        await scheduler.start()
+    await asyncio.sleep(1.0)
+    service.both_ready, begun = True, len(service.acts)
+    until = time.monotonic() + 15
+    while len(service.acts) == begun and time.monotonic() < until:
+        await asyncio.sleep(0.01)
+    if RESTARTS and len(service.acts) > begun:
+        await asyncio.sleep(TERM_AFTER_S)
+        holder = schedulers[service.acts[-1].holder]
+        holder.send(signal.SIGTERM)
+        await holder.wait(5.0)
+    await asyncio.sleep(4.0)
 
 
 async def case(record: rig.Record) -> int:
-    """Read through nodes at a distance of a millisecond, and look for foreign answers."""
-    nodes = [Node(f"node {number}", record) for number in range(NODES)]
-    services = [rig.Service(node.handle) for node in nodes]
+    """Look for acts of two schedulers at the same time."""
+    service = SweepService(record)
     discovery = rig.Discovery()
     await discovery.open()
-    wires = []
-    for shard, service in enumerate(services):
-        await service.open()
-        wire = rig.Wire(service.port, ONE_WAY_S)
-        await wire.open()
-        wires.append(wire)
-        discovery.add(f"s-0000000{shard}", wire.port, shard)
-    scheduler = rig.Scheduler(record, discovery, rig.settings())
-    wrong: list[str] = []
-    clients: list[asyncio.Task[None]] = []
+    server = rig.Service(service.handle)
+    await server.open()
+    folder = tempfile.TemporaryDirectory(prefix="review-")
+    operator = OPERATOR.format(folder=folder.name, port=server.port)
+    schedulers = {
+        name: rig.Scheduler(record, discovery, rig.settings(), operator, name) for name in ("n0", "n1")
+    }
     try:
-        await scheduler.start()
-        clients = [asyncio.create_task(read_without_pause(scheduler, record, wrong)) for _ in range(CLIENTS)]
-        await asyncio.sleep(SECONDS)
+        await play(schedulers, service)
     finally:
-        await rig.stop(clients)
-        await scheduler.end()
-        for service in (*wires, *services, discovery):
-            service.close()
-    doubled = sum(node.doubled for node in nodes)
-    served = record.count(": 200 after")
-    summary = (
-        f"{served} reads served, {doubled} answers sent twice, {len(wrong)} clients got a foreign answer"
-    )
+        for scheduler in schedulers.values():
+            await scheduler.end()
+        server.close()
+        discovery.close()
+        folder.cleanup()
+    twice = overlaps(service.acts)
+    for first, second in twice:
+        early_s = first.ends_at - second.began_at
+        record.add(
+            f"TWO AT ONCE: {second.holder} (token {second.token}) began {early_s:.3f} s before the act of"
+            f" {first.holder} (token {first.token}) ended"
+        )
+    summary = f"{len(service.acts)} acts, {len(twice)} began while another scheduler's was at work"
     record.add(summary)
     print(summary)
-    if not served:
+    if not service.acts:
         return rig.COULD_NOT_RUN
-    return rig.BROKEN if wrong else rig.HELD
+    return rig.BROKEN if twice else rig.HELD
 
 
 rig.run_case(FOLDER, case)
--- a/review/rig.py
+++ b/review/rig.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import ssl
+import struct
 import sys
 import tempfile
 import time
@@ -87,9 +88,11 @@
     return "\r\n".join(lines).encode() + body
 
 
-def has_input(reader: asyncio.StreamReader) -> bool:
-    """Return whether bytes have come that nobody has read yet."""
-    return bool(reader._buffer)  # noqa: SLF001 - a reader has no other way to tell
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, as a proxy or a network does; the peer's next read fails with ECONNRESET."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 Handler = Callable[[Message, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -131,46 +134,6 @@
             writer.close()
 
 
-class Wire:
-    """A proxy that passes all bytes on after the time that they take one way."""
-
-    def __init__(self, target: int, one_way_s: float) -> None:
-        self.port = 0
-        self._target = target
-        self._one_way_s = one_way_s
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def open(self) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-        for task in self._tasks:
-            task.cancel()
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._target)
-        for source, sink in ((reader, far_writer), (far_reader, writer)):
-            task = asyncio.create_task(self._carry(source, sink))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _carry(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            while data := await source.read(1 << 16):
-                loop.call_later(self._one_way_s, sink.write, data)
-        except ConnectionError:
-            pass
-        finally:
-            loop.call_later(self._one_way_s, sink.close)
-
-
 class Discovery(Service):
     """Answers with the whole list, and watches with the changes since."""
 
@@ -219,9 +182,15 @@
     """The real program in a process of its own; it keeps its addresses and files over restarts."""
 
     def __init__(
-        self, record: Record, discovery: Discovery, found: dict[str, Any], operator: str = ""
+        self,
+        record: Record,
+        discovery: Discovery,
+        found: dict[str, Any],
+        operator: str = "",
+        name: str = "n0",
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+        self.name = name
         self.port = free_port()
         self.console = free_port()
         self.memory_mb = 192
@@ -236,7 +205,7 @@
     def write_config(self) -> None:
         """Write the configuration, whole, with the settings as they are now."""
         config = {
-            "name": "n0",
+            "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self._discovery.port}",
             "console": f"127.0.0.1:{self.console}",
@@ -255,7 +224,7 @@
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
         command = deploy["run"] + (f" serve --operator {self._operator}" if self._operator else "")
         environment = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
-        environment |= {"GW_CONFIG": str(self.folder / "config.json"), "GW_NAME": "n0"}
+        environment |= {"GW_CONFIG": str(self.folder / "config.json"), "GW_NAME": self.name}
         with (self.folder / "log.txt").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdout=log, stderr=log
@@ -270,7 +239,7 @@
                 healthy = (await read_message(reader)).status == 200
                 writer.close()
                 if healthy:
-                    self._record.add(f"scheduler is ready, process {self.process.pid}")
+                    self._record.add(f"scheduler {self.name} is ready, process {self.process.pid}")
                     return
             await asyncio.sleep(0.05)
         raise RuntimeError(f"the scheduler did not start: {self.log()[-500:]}")
@@ -278,7 +247,7 @@
     def send(self, which: signal.Signals) -> None:
         """Send a signal to the program."""
         assert self.process is not None
-        self._record.add(f"{which.name} to the scheduler")
+        self._record.add(f"{which.name} to the scheduler {self.name}")
         self.process.send_signal(which)
 
     async def wait(self, seconds: float) -> int | None:
@@ -299,7 +268,7 @@
             self.process.kill()
             await self.process.wait()
         for line in self.log().splitlines():
-            self._record.add(f"log: {line}")
+            self._record.add(f"log of {self.name}: {line}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
