--- a/review/9/case.py
+++ b/review/9/case.py
@@ -52,6 +52,7 @@
 
     def __init__(self, scheduler: rig.Scheduler, record: rig.Record) -> None:
         self.sent: list[rig.Sent] = []
+        self.waiting: dict[int, rig.Sent] = {}  # by client
         self.done = False
         self._scheduler = scheduler
         self._record = record
@@ -64,7 +65,9 @@
                 await client.connect()
             ident = secrets.token_hex(8)
             data = rig.request_bytes(ident, "lettura", number % 3, DEADLINE_S, number)
-            self.sent.append(await client.ask(ident, data, 20.0))
+            self.waiting[number] = rig.Sent(ident, sent_at=time.monotonic(), fate="no answer yet")
+            self.sent.append(await client.ask(ident, data, 30.0))
+            del self.waiting[number]
             await asyncio.sleep(random.uniform(0.05, 0.15))
 
 
@@ -82,6 +85,9 @@
     record.add("the bad clients are gone")
     readers.done = True
     await asyncio.wait(usual, timeout=AFTER_S)
+    for one in readers.waiting.values():
+        one.ended_at = time.monotonic()
+        readers.sent.append(one)
     await rig.stop(usual)
 
 
