--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,7 +16,7 @@
 import rig  # noqa: E402
 
 CLIENTS = 8
-BAD_CLIENTS = 40
+BAD_CLIENTS = 60
 BODY_BYTES = 60_000  # below the 64 KiB that a body holds at most
 BEFORE_S, TROUBLE_S, AFTER_S = 1.5, 12.0, 8.0
 DEADLINE_S = 2.0
