--- a/review/rig.py
+++ b/review/rig.py
@@ -360,9 +360,15 @@
 
 
 async def stop(tasks: list[asyncio.Task[None]]) -> None:
-    """End tasks, and wait for them."""
-    for task in tasks:
-        task.cancel()
+    """End tasks, and wait for them.
+
+    They are cancelled until they end: ``wait_for`` of Python 3.11 loses a cancellation that comes with a result.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=0.2)
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
