--- a/review/rig.py
+++ b/review/rig.py
@@ -362,7 +362,7 @@
 async def stop(tasks: list[asyncio.Task[None]]) -> None:
     """End tasks, and wait for them.
 
-    They are cancelled until they end: ``wait_for`` of Python 3.11 loses a cancellation that comes with a result.
+    They are cancelled until they end: ``wait_for`` of Python 3.11 may lose a cancellation.
     """
     pending = set(tasks)
     while pending:
