Log and count why connections close, how much memory is used, and answers that are given up

Change: metrics svc.closed.REASON, svc.clients, svc.node_connections, svc.long_answers, svc.resident_bytes, svc.buffered_bytes, svc.longest_lateness_ms; log lines `memory` (at 50, 75 and 90% of the limit, and the highest at the end) and `attempt` (id, node and bytes); the id of the request in structured lines of `box`.

--- a/sabledyke/application/lifecycle.py
+++ b/sabledyke/application/lifecycle.py
@@ -8,6 +8,7 @@
 
 from sabledyke import invariants, log
 from sabledyke.application.assembly import Assembly, ServerControl
+from sabledyke.application.process_memory import MEGABYTE, MemoryWatch
 from sabledyke.application.shutdown_driver import ShutdownDriver
 from sabledyke.net.console import Console
 from sabledyke.net.listener import Listener
@@ -41,6 +42,7 @@
         self._interrupt_count = 0
         self._planned = False  # the shutdown belongs to a plan of the fleet
         self.shutdown: ShutdownDriver | None = None
+        self._memory_watch = MemoryWatch(lambda: assembly.config.memory_bytes, self._describe_memory)
 
     @property
     def stop_requested(self) -> bool:
@@ -161,8 +163,16 @@
         empty = EndpointListing(EndpointList(ListKind.CACHED, 0, ()), {})
         self._assembly.on_endpoint_list(self._assembly.config.known or empty)
         self._assembly.watch.start()
+        self._memory_watch.start()
         self._assembly.driver.run_batch()
 
+    def _describe_memory(self) -> str:
+        """Return the connections and buffered bytes, for the log."""
+        connections = sum(len(frontend.clients) for frontend in self._assembly.frontends)
+        buffered_kb = self._assembly.memory_budget.used_bytes // 1024
+        long_answers = self._assembly.pool.long_answer_count
+        return f"{connections} clients, {buffered_kb} kB buffered, {long_answers} long answers"
+
     async def _await_first_list(self) -> None:
         """Request the endpoint list, and wait until the call ends, a shutdown begins or a timeout passes.
 
@@ -191,6 +201,8 @@
     async def _close(self) -> None:
         """Close what the server opened, and log the number of violations of each invariant."""
         self._assembly.watch.stop()
+        self._memory_watch.stop()
+        log.emit("memory", f"{self._memory_watch.highest_bytes / MEGABYTE:.0f} MB were in use at most")
         self._assembly.pool.close()
         if self._console_listener is not None and self._console is not None:
             self._console_listener.close()
--- a/sabledyke/application/server.py
+++ b/sabledyke/application/server.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from sabledyke.application.assembly import Assembly
 from sabledyke.application.lifecycle import Lifecycle
+from sabledyke.application.process_memory import resident_bytes
 from sabledyke.application.reload import ReadConfig, ReadOperator, Reloader
 from sabledyke.config import Config
-from sabledyke.metrics import unresponsive_count
+from sabledyke.metrics import gauge_line, reason_lines, unresponsive_count
+from sabledyke.net.close_reason import CloseReason
 from sabledyke.net.console import Console
 from sabledyke.protocol.console import ConsoleCall
 from sabledyke.shutdown.graceful_shutdown import DEFAULT_TIMES, ShutdownTimes
@@ -111,7 +114,22 @@
             if class_.name not in core.settings.retired_classes
         ]
         unresponsive = unresponsive_count(core.scheduler.nodes.values())
-        return core.metrics.format_lines(classes, core.unanswered, core.nodes.values(), unresponsive)
+        lines = core.metrics.format_lines(classes, core.unanswered, core.nodes.values(), unresponsive)
+        return lines + self._resource_lines()
+
+    def _resource_lines(self) -> list[str]:
+        """Return the metrics of connections, memory and the event loop."""
+        closed = sum((frontend.closed_connections for frontend in self.frontends), Counter[CloseReason]())
+        lateness_s = self.assembly.driver.lateness.longest_s
+        return [
+            gauge_line("clients", sum(len(frontend.clients) for frontend in self.frontends)),
+            gauge_line("node_connections", self.pool.open_connections),
+            gauge_line("long_answers", self.pool.long_answer_count),
+            gauge_line("resident_bytes", resident_bytes()),
+            gauge_line("buffered_bytes", self.assembly.memory_budget.used_bytes),
+            gauge_line("longest_lateness_ms", round(lateness_s * 1000)),
+            *reason_lines("closed", {reason.value: closed[reason] for reason in CloseReason}),
+        ]
 
     def _on_console_call(self, call: ConsoleCall) -> tuple[int, bytes]:
         """Execute an operator's call, and return the status and body of its answer."""
--- a/sabledyke/metrics.py
+++ b/sabledyke/metrics.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from sabledyke.policy.actions import RejectReason
 from sabledyke.policy.events import Outcome
@@ -101,11 +101,7 @@
 
     def _rejection_lines(self) -> list[str]:
         """Return a line for each reason that has occurred, in the order of their definition."""
-        return [
-            f"svc.rejections.{reason.value}:{self.rejections[reason]}|c"
-            for reason in RejectReason
-            if self.rejections[reason]
-        ]
+        return reason_lines("rejections", {reason.value: self.rejections[reason] for reason in RejectReason})
 
     def _answer_lines(self, classes: Iterable[str]) -> list[str]:
         counted_classes = (class_name for _, class_name in self.answers)
@@ -117,6 +113,16 @@
         ]
 
 
+def gauge_line(name: str, value: int) -> str:
+    """Return the line of a gauge."""
+    return f"svc.{name}:{value}|g"
+
+
+def reason_lines(name: str, counts: Mapping[str, int]) -> list[str]:
+    """Return the lines of a counter by reason, without reasons that have not occurred."""
+    return [f"svc.{name}.{reason}:{count}|c" for reason, count in counts.items() if count]
+
+
 def unresponsive_count(nodes: Iterable[NodeRecord]) -> int:
     """Count the ready nodes that are unresponsive, to which the scheduler sends only single probes."""
     return sum(node.ready and node.unresponsive for node in nodes)
--- a/sabledyke/net/client_connection.py
+++ b/sabledyke/net/client_connection.py
@@ -8,6 +8,7 @@
 
 from sabledyke.core import Answer, ClientRequest
 from sabledyke.net import streams
+from sabledyke.net.close_reason import CloseReason
 
 REQUEST_TIMEOUT_S = 2.25  # time for the first request after connecting, and for each partly received request
 CLOSE_DELAY_S = 0.25  # delay between half-close and close, for the client to read its last answer
@@ -28,6 +29,7 @@
         last_activity_s: Event loop time at which the client connected, began a request or read its last
             answer.
         on_closed: Called when the connection is closed.
+        close_reason: Why the connection is closed; the first reason that was set counts.
     """
 
     def __init__(self, stream: streams.Stream) -> None:
@@ -35,6 +37,7 @@
         self.never_requested = True
         self.last_activity_s = asyncio.get_running_loop().time()
         self.on_closed: Callable[[], None] = _do_nothing
+        self.close_reason: CloseReason | None = None
         self._pending_read: asyncio.Future[bytes] | None = None  # the read that ``serve`` awaits
         self._awaits_slot = False  # input that was read waits until other connections had their turn
 
@@ -94,6 +97,17 @@
     def on_client_disconnected(self) -> None:
         """Cancel the connection's requests, as the client can no longer receive their answers."""
 
+    @property
+    def timeout_reason(self) -> CloseReason:
+        """Reason for which the connection is closed if its present state takes too long."""
+        if self.busy:
+            return CloseReason.UNREAD_ANSWER
+        return CloseReason.IDLE if self.idle else CloseReason.PARTIAL_REQUEST
+
+    def set_close_reason(self, reason: CloseReason) -> None:
+        """Set why the connection is about to be closed, unless a reason is already set."""
+        self.close_reason = self.close_reason or reason
+
     def on_timeout(self) -> None:
         """Close the connection, after an error answer where a request was partly received."""
         self.close()
@@ -120,6 +134,7 @@
         ``CLOSE_DELAY_S``. Further input stays unread: a request that is read but not answered would be lost,
         whereas the client sends an unread one again.
         """
+        self.set_close_reason(CloseReason.ANSWERED)
         self.stop_reading()
         if streams.is_open_without_input(self.stream) or not streams.half_close(self.stream):
             self.close()
--- a/sabledyke/net/connection_pool.py
+++ b/sabledyke/net/connection_pool.py
@@ -68,6 +68,11 @@
         self._preconnects: dict[NodeId, asyncio.Task[None]] = {}  # at most one per node
         self._closed = False
 
+    @property
+    def long_answer_count(self) -> int:
+        """Number of long answers that are being passed on."""
+        return self._long_answers
+
     @property
     def open_connections(self) -> int:
         """Number of connections that are open or being opened."""
@@ -98,6 +103,7 @@
         """Cancel an attempt and close its connection; an unknown attempt is ignored."""
         attempt = self._attempts.get((request_id, number))
         if attempt is not None:
+            attempt.log_begun_answer("cancelled")
             self._complete(attempt, AttemptResult(Outcome.CANCELLED, attempt.abort()))
 
     def close_idle(self, node: NodeId) -> None:
@@ -188,7 +194,11 @@
 
     def _on_attempt_broken(self, attempt: _Attempt, error: Exception) -> None:
         if isinstance(error, PeerProtocolError):
-            log.emit("box", f"{node_name(attempt.node)} violated its protocol: {error}")
+            log.emit(
+                "box",
+                f"{node_name(attempt.node)} violated its protocol: {error}",
+                request=attempt.request.client_request_id,
+            )
         ran = attempt.may_have_run
         self._complete(attempt, AttemptResult(Outcome.RESET if ran else Outcome.NO_CONNECTION, ran))
 
@@ -252,6 +262,7 @@
         self._open_count -= 1
 
     def _expire(self, attempt: _Attempt) -> None:
+        attempt.log_begun_answer("timed out")
         ran = attempt.abort()
         self._complete(attempt, AttemptResult(Outcome.TIMEOUT if ran else Outcome.NO_CONNECTION, ran))
 
@@ -295,6 +306,20 @@
     def may_have_run(self) -> bool:
         return self.connection is not None and self.connection.link.may_have_run
 
+    def log_begun_answer(self, end: str) -> None:
+        """Log that the attempt ends while its node is giving an answer, if that has begun."""
+        received_bytes = self.connection.link.begun_answer_bytes if self.connection is not None else None
+        if received_bytes is None:
+            return
+        log.emit(
+            "attempt",
+            f"{self.request.client_request_id} {end} at {node_name(self.node)}"
+            f" with {received_bytes} bytes of its answer",
+            request=self.request.client_request_id,
+            node=node_name(self.node),
+            received_bytes=received_bytes,
+        )
+
     def abort(self) -> bool:
         """Close the connection in use; return whether the attempt may have run, which is then final."""
         if self.connection is not None:
--- a/sabledyke/net/frontend.py
+++ b/sabledyke/net/frontend.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Awaitable, Callable
 from math import inf
 
 from sabledyke import log
 from sabledyke.net import streams
 from sabledyke.net.client_connection import ClientConnection
+from sabledyke.net.close_reason import CloseReason
 from sabledyke.net.fair_queue import FairQueue
 from sabledyke.net.memory_budget import MemoryBudget
 from sabledyke.shutdown.graceful_shutdown import GracefulShutdown, ShutdownPhase
@@ -50,6 +51,7 @@
         quiesced_at_s: Event loop time at which operators began to drain the scheduler; None without a drain.
         fair_queue: Turns of the connections to process their input.
         clients: The connections, in ascending order of last use.
+        closed_connections: Number of connections that were closed, by reason.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.quiesced_at_s: float | None = None
         self.fair_queue = FairQueue()
         self.clients: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.closed_connections: Counter[CloseReason] = Counter()
         self._make_connection = make_connection
         self._pending_handshakes: set[asyncio.Task[None]] = set()
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -152,6 +155,7 @@
             largest = max(self.clients, key=lambda client: client.partial_bytes, default=None)
             if largest is None or not largest.partial_bytes:
                 return
+            largest.set_close_reason(CloseReason.MEMORY)
             largest.reject_for_memory()
 
     def close_idle(self, now_s: float, poll_interval_s: float = 0.0) -> None:
@@ -173,6 +177,7 @@
             if self.shutdown is not None and not self.shutdown.closes_idle(now_s, poll_interval_s):
                 continue
             if client.closable:
+                client.set_close_reason(CloseReason.DRAIN)
                 client.close_together()
 
     def stop_reading(self) -> None:
@@ -190,6 +195,7 @@
         for task in self._pending_handshakes:
             task.cancel()
         for client in list(self.clients):
+            client.set_close_reason(CloseReason.END)
             client.close()
 
     def _run_guard(self, sock: socket.socket, guard: Guard) -> None:
@@ -235,7 +241,9 @@
         closed = "an idle connection" if evicted else "the new connection"
         log.emit("front", f"{len(self.clients)} {self.name} clients: closed {closed}")
         if evicted is None:
+            self.closed_connections[CloseReason.NOT_ADMITTED] += 1
             return False
+        evicted.set_close_reason(_eviction_reason(evicted))
         evicted.close_together()
         return True
 
@@ -271,6 +279,7 @@
         for client in list(self.clients):
             overdue = now_s - client.last_activity_s > client.timeout_s(idle_timeout_s)
             if overdue and (client.busy or not client.has_unread_input):  # unread bytes are processed first
+                client.set_close_reason(client.timeout_reason)
                 client.on_timeout()
         if self.quiesced:
             self._close_drained(now_s)
@@ -290,10 +299,13 @@
             if client.never_requested or client.last_activity_s > spared_since_s:
                 continue
             if client.closable:
+                client.set_close_reason(CloseReason.DRAIN)
                 client.close_together()
 
     def _remove(self, client: ClientConnection) -> None:
-        self.clients.pop(client, None)
+        if client in self.clients:
+            del self.clients[client]
+            self.closed_connections[client.close_reason or CloseReason.CLIENT] += 1
 
 
 def stream_from_socket(sock: socket.socket) -> streams.IOStream:
@@ -302,6 +314,12 @@
     return streams.IOStream(sock, read_chunk_size=streams.READ_SIZE_BYTES)
 
 
+def _eviction_reason(client: ClientConnection) -> CloseReason:
+    if not client.idle:
+        return CloseReason.EVICTED_PARTIAL
+    return CloseReason.EVICTED_UNUSED if client.never_requested else CloseReason.EVICTED_IDLE
+
+
 def _has_partial_request(client: ClientConnection) -> bool:
     """Return whether a client has sent part of a request and no further bytes have arrived."""
     return not client.busy and not client.idle and not client.has_unread_input
--- a/sabledyke/net/http_frontend.py
+++ b/sabledyke/net/http_frontend.py
@@ -11,6 +11,7 @@
 from sabledyke.net import clock, streams
 from sabledyke.net.answer_writer import AnswerWriter
 from sabledyke.net.client_connection import REQUEST_TIMEOUT_S, ClientConnection, Submit
+from sabledyke.net.close_reason import CloseReason
 from sabledyke.net.frontend import Frontend
 from sabledyke.net.memory_budget import MemoryUse, request_bytes
 from sabledyke.protocol.gateway import HEALTH_PATH, MessageReader, encode_client_response
@@ -60,7 +61,7 @@
         self._request_bytes = 0  # memory of the request in flight
         self._request_id: int | None = None  # the request in flight
         self._writer = AnswerWriter(
-            stream, frontend.memory_budget, self._on_activity, self._on_answer_sent, self.close
+            stream, frontend.memory_budget, self._on_activity, self._on_answer_sent, self._on_answer_broken
         )
         self._continue_sent = False  # 100 Continue was sent for the request whose body is being received
         self._reading_stopped = False  # the last answer was sent, or the program stops
@@ -295,6 +296,12 @@
         elif not self.stream.closed():
             self._continue_after_answer()
 
+    def _on_answer_broken(self) -> None:
+        """Close the connection, as a long answer ended within its body."""
+        if not streams.peer_closed(self.stream):
+            self.set_close_reason(CloseReason.BROKEN_ANSWER)
+        self.close()
+
     def _continue_after_answer(self) -> None:
         try:
             self._handle_next_request()
@@ -310,6 +317,7 @@
 
     def _reject_bad_request(self, error: HttpError) -> None:
         """Close the connection after an error answer; at once if another request is being answered."""
+        self.set_close_reason(CloseReason.BAD_REQUEST)
         log.emit("front", f"a client sent a bad request: {error}")
         self._end_with_error(error.status)
 
--- a/sabledyke/net/http_link.py
+++ b/sabledyke/net/http_link.py
@@ -56,6 +56,11 @@
         """True if the request's last byte was sent, which a failed write has not done."""
         return self._written is not None and self._written.done() and self._written.exception() is None
 
+    @property
+    def begun_answer_bytes(self) -> int | None:
+        """Bytes received of the body of an answer that has begun and is not complete; None without one."""
+        return self._parser.buffered_bytes if self._parser.receiving_body else None
+
     async def exchange(self, request: ClientRequest, timeout: float) -> AttemptResult:
         """Send a request to the node and return the result of its response.
 
--- a/sabledyke/net/link.py
+++ b/sabledyke/net/link.py
@@ -36,6 +36,10 @@
     def reusable(self) -> bool:
         """True if the connection can carry another request."""
 
+    @property
+    def begun_answer_bytes(self) -> int | None:
+        """Bytes received of the body of an answer that has begun and is not complete; None without one."""
+
     async def exchange(self, request: ClientRequest, timeout: float) -> AttemptResult:
         """Carry out one attempt and return its result.
 
--- a/sabledyke/net/nvme_frontend.py
+++ b/sabledyke/net/nvme_frontend.py
@@ -10,6 +10,7 @@
 from sabledyke.core import Answer, AnswerStatus
 from sabledyke.net import streams
 from sabledyke.net.client_connection import REQUEST_TIMEOUT_S, ClientConnection, Submit
+from sabledyke.net.close_reason import CloseReason
 from sabledyke.net.frontend import Frontend
 from sabledyke.net.memory_budget import MemoryUse, request_bytes
 from sabledyke.net.nvme_association import ANSWER_POLL_INTERVAL_S, Association, Associations
@@ -155,6 +156,7 @@
         except streams.StreamClosedError:
             self.close()
         except NvmeError as error:
+            self.set_close_reason(CloseReason.BAD_REQUEST)
             log.emit("front", f"an NVMe host violated the protocol: {error}")
             await self._await_answers()
             if not self.stream.closed():
@@ -289,6 +291,7 @@
         if association.busy or silent_s < keep_alive_s:
             self._schedule_keep_alive(keep_alive_s if association.busy else keep_alive_s - silent_s)
             return
+        self.set_close_reason(CloseReason.IDLE)
         log.emit("front", "an NVMe host sent nothing within its keep-alive time")
         self.close()
 
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -161,6 +161,11 @@
         """True if the stream is closed."""
         return bool(self.stream.closed())
 
+    @property
+    def begun_answer_bytes(self) -> int | None:
+        """Bytes received of an answer that has begun; None, as most protocols do not tell."""
+        return None
+
     def close(self) -> None:
         """Close the stream, even during an exchange."""
         self.closed_locally = True
--- a/sabledyke/store/sql_link.py
+++ b/sabledyke/store/sql_link.py
@@ -43,12 +43,14 @@
         closed: True if the link can no longer be used.
         reusable: True if another exchange may follow the last one.
         may_have_run: True if the node may have run the last exchange.
+        begun_answer_bytes: Always None, as a database gives its answer as a whole.
     """
 
     def __init__(self, pool: SessionPool, retention_ms: float) -> None:
         self.closed = False
         self.reusable = True
         self.may_have_run = False
+        self.begun_answer_bytes: int | None = None
         self._pool = pool
         self._retention_ms = retention_ms
         self._session: Session | None = None
