Pass on an answer that has begun when its attempt's time is over

Cause: an attempt ended at the objective unless a byte of a body over 64 KiB, or 32 KiB without a length, had come by then. An answer with a late body, or a slow one without a length, was cut off although its head had come in time.

Change: when the time is over, the pool has the link pass on an answer that has begun and may be long (200, no length or over 64 KiB). Such a short one that hangs is broken off 1.5 s after its last byte, at the earliest 0.4 s after the deadline.

Why it works: the time of an attempt now decides whether an answer begins in time, and no longer ends one that has begun.

--- a/sabledyke/net/answer_writer.py
+++ b/sabledyke/net/answer_writer.py
@@ -12,6 +12,10 @@
 from sabledyke.net.memory_budget import MemoryBudget, MemoryUse
 from sabledyke.protocol.http import HttpMessage, encode_chunk, encode_streamed_head
 
+LATE_ANSWER_S = 0.4  # time after a client's deadline at which a short answer still counts as given
+UNSIZED_STALL_S = 1.5  # time without a byte after which a short answer without a length is broken off
+SHORT_ANSWER_BYTES = 16 * 1024  # size up to which an answer without a length counts as short meanwhile
+
 
 def _ignore_sent(_last: bool) -> None:
     return
@@ -79,12 +83,13 @@
 
         written.add_done_callback(on_written)
 
-    def pass_on(self, body: BodyStream, request: HttpMessage, *, last: bool) -> None:
+    def pass_on(self, body: BodyStream, request: HttpMessage, deadline_s: float, *, last: bool) -> None:
         """Pass a long answer on while it arrives, at the speed at which the client reads it.
 
         Args:
             body: The body of the answer.
             request: The request that it answers.
+            deadline_s: Event loop time until which the client waits for the answer to begin.
             last: Whether the connection ends after it, also if its length is known.
         """
         chunked = body.length_bytes is None and not request.http_1_0
@@ -92,17 +97,17 @@
         self._begin(last=last)
         self._body = body
         self._streaming = asyncio.get_running_loop().create_task(
-            self._pass_on(body, chunked=chunked, last=last)
+            self._pass_on(body, deadline_s, chunked=chunked, last=last)
         )
 
-    async def _pass_on(self, body: BodyStream, *, chunked: bool, last: bool) -> None:
+    async def _pass_on(self, body: BodyStream, deadline_s: float, *, chunked: bool, last: bool) -> None:
         """Send the head and the parts of a long answer.
 
         Guards against completing an answer that its node broke off: the connection ends within the body, by
         a reset, as the end of the connection may otherwise be the end of the body.
         """
         try:
-            await self._send_body(body, chunked=chunked, close=last)
+            await self._send_body(body, deadline_s, chunked=chunked, close=last)
         except AnswerBrokenError as error:
             log.emit("box", str(error))
             streams.reset_on_close(self._stream)
@@ -116,11 +121,13 @@
             self._body = None
         self._finish(last=last)
 
-    async def _send_body(self, body: BodyStream, *, chunked: bool, close: bool) -> None:
+    async def _send_body(self, body: BodyStream, deadline_s: float, *, chunked: bool, close: bool) -> None:
         use = MemoryUse(self._memory_budget)
+        sent_bytes = 0
         try:
             await self._stream.write(encode_streamed_head(body.length_bytes, chunked=chunked, close=close))
-            while fragment := await body.read():
+            while fragment := await self._next_fragment(body, deadline_s, sent_bytes):
+                sent_bytes += len(fragment)
                 self._on_progress()
                 use.set(len(fragment))
                 await self._stream.write(encode_chunk(fragment) if chunked else fragment)
@@ -129,6 +136,27 @@
         finally:
             use.set(0)
 
+    async def _next_fragment(self, body: BodyStream, deadline_s: float, sent_bytes: int) -> bytes:
+        """Return the next part of a long answer, and empty bytes at its end.
+
+        Guards against an answer without a stated length that is short and never ends, as its node hangs: its
+        client would get no end until long after its deadline.
+
+        Raises:
+            AnswerBrokenError: The node broke off its answer, or gave nothing for too long.
+        """
+        if body.length_bytes is not None or sent_bytes > SHORT_ANSWER_BYTES:
+            return await body.read()
+        now_s = asyncio.get_running_loop().time()
+        until_s = max(deadline_s + LATE_ANSWER_S, now_s + UNSIZED_STALL_S)
+        try:
+            async with asyncio.timeout_at(until_s):
+                return await body.read()
+        except TimeoutError:
+            raise AnswerBrokenError(
+                f"an answer was broken off: its node stopped after {sent_bytes} bytes"
+            ) from None
+
     def _begin(self, *, last: bool) -> None:
         self.busy = True
         self.last_answer_begun = self.last_answer_begun or last
--- a/sabledyke/net/connection_pool.py
+++ b/sabledyke/net/connection_pool.py
@@ -262,6 +262,12 @@
         self._open_count -= 1
 
     def _expire(self, attempt: _Attempt) -> None:
+        """End an attempt whose time is over, unless its node is giving an answer that may be a long one.
+
+        Guards against cutting off a long answer that began in time: it is passed on while it arrives.
+        """
+        if attempt.connection is not None and attempt.connection.link.pass_on_begun_answer():
+            return
         attempt.log_begun_answer("timed out")
         ran = attempt.abort()
         self._complete(attempt, AttemptResult(Outcome.TIMEOUT if ran else Outcome.NO_CONNECTION, ran))
--- a/sabledyke/net/http_frontend.py
+++ b/sabledyke/net/http_frontend.py
@@ -234,6 +234,8 @@
         self._ids.claim(clock.now(), request)
         request.client_connected = self._client_present
 
+        deadline_s = asyncio.get_running_loop().time() + request.remaining_ms / 1000
+
         def on_answer(answer: Answer) -> None:
             self._request_id = None
             self._request_bytes = 0
@@ -242,7 +244,7 @@
             if self.stream.closed():
                 answer.discard()
             elif answer.body_stream is not None:
-                self._writer.pass_on(answer.body_stream, message, last=last)
+                self._writer.pass_on(answer.body_stream, message, deadline_s, last=last)
             else:
                 self._writer.write(encode_client_response(answer, close=last), last=last)
 
--- a/sabledyke/net/http_link.py
+++ b/sabledyke/net/http_link.py
@@ -26,8 +26,6 @@
 )
 from sabledyke.protocol.platform_names import RESPONSE_HEADERS
 
-LATE_SHARE = 0.75  # share of an attempt's time after which a response without a length counts as slow
-
 
 class HttpLink(streams.StreamLink):
     """HTTP connection to a storage node that carries one request at a time."""
@@ -50,6 +48,7 @@
             responses=True, header_names=RESPONSE_HEADERS, max_body_bytes=MAX_STREAMED_BODY_BYTES
         )
         self._written: asyncio.Future[None] | None = None
+        self._passes_on_begun = False  # the response that has begun ends the exchange
 
     @property
     def may_have_run(self) -> bool:
@@ -61,6 +60,18 @@
         """Bytes received of the body of an answer that has begun and is not complete; None without one."""
         return self._parser.buffered_bytes if self._parser.receiving_body else None
 
+    def pass_on_begun_answer(self) -> bool:
+        """End the exchange in progress with the response that has begun, if that may be a long one."""
+        head = self._parser.incomplete_message
+        if head is None or head.status != HTTPStatus.OK:
+            return False
+        body_bytes = self._parser.missing_body_bytes
+        if body_bytes is not None and body_bytes <= MAX_BODY_BYTES:
+            return False
+        self._passes_on_begun = True
+        self.read_ahead.interrupt()
+        return True
+
     async def exchange(self, request: ClientRequest, timeout: float) -> AttemptResult:
         """Send a request to the node and return the result of its response.
 
@@ -68,14 +79,14 @@
         connection until it ends.
         """
         self.reusable = False
+        self._passes_on_begun = False
         self._written = None
         self._written = asyncio.ensure_future(
             self.stream.write(encode_node_request(request, self._host, timeout))
         )
-        late_s = asyncio.get_running_loop().time() + LATE_SHARE * timeout / 1000
         use = MemoryUse(self._memory_budget)
         try:
-            answer = await self._read_response(use, late_s)
+            answer = await self._read_response(use)
         except HttpError as error:
             use.set(0)
             raise PeerProtocolError(str(error)) from None
@@ -89,37 +100,32 @@
         self.reusable = answer.keep_alive and self.may_have_run and self._parser.idle
         return result
 
-    async def _read_response(self, use: MemoryUse, late_s: float) -> HttpMessage:
+    async def _read_response(self, use: MemoryUse) -> HttpMessage:
         """Return the response, without its body if that is long; count the bytes that it buffers."""
         while True:
             try:
-                data = await self.read_ahead.read()
+                self._parser.feed(await self.read_ahead.read())
             except streams.StreamClosedError as end:
                 return complete_at_end(self._parser, end, closed_locally=self.closed_locally)
-            self._parser.feed(data)
-            del data  # a waiting link holds only the bytes of its parser
+            except streams.ReadInterruptedError:
+                pass  # no further bytes have arrived
             answer = await self._fair_queue.next_message(self._parser)
             if answer is not None:
                 return answer
             use.set(self._parser.buffered_bytes)
             head = self._parser.incomplete_message
-            if head is not None and self._is_long(late_s):
+            if head is not None and (self._passes_on_begun or self._is_long()):
                 if self._memory_budget.refuses_long_answers:
                     raise HttpError("the answer exceeds the memory left for answers")
                 return head
 
-    def _is_long(self, late_s: float) -> bool:
-        """Return whether the response has more than ``MAX_BODY_BYTES``, or will have.
-
-        A response without a stated length is long as well if half as much has arrived when its attempt has
-        not much time left: a long response may arrive slowly, and counts by its first bytes.
-        """
+    def _is_long(self) -> bool:
+        """Return whether the response's body has begun and has, or will have, over ``MAX_BODY_BYTES``."""
         received_bytes = self._parser.buffered_bytes
         missing_bytes = self._parser.missing_body_bytes
         if missing_bytes is not None:
             return missing_bytes > MAX_BODY_BYTES and received_bytes > 0
-        is_late = asyncio.get_running_loop().time() >= late_s
-        return received_bytes > (MAX_BODY_BYTES // 2 if is_late else MAX_BODY_BYTES)
+        return received_bytes > MAX_BODY_BYTES
 
     def _make_body_stream(self, use: MemoryUse) -> HttpBodyStream:
         return HttpBodyStream(
--- a/sabledyke/net/link.py
+++ b/sabledyke/net/link.py
@@ -40,6 +40,14 @@
     def begun_answer_bytes(self) -> int | None:
         """Bytes received of the body of an answer that has begun and is not complete; None without one."""
 
+    def pass_on_begun_answer(self) -> bool:
+        """End the exchange in progress with the answer that has begun, if that may be a long one.
+
+        Returns:
+            True if ``exchange`` ends at once with a result that has a ``body_stream``, with the whole answer,
+            or with an error; False if no such answer has begun, and nothing changes.
+        """
+
     async def exchange(self, request: ClientRequest, timeout: float) -> AttemptResult:
         """Carry out one attempt and return its result.
 
--- a/sabledyke/net/streams.py
+++ b/sabledyke/net/streams.py
@@ -87,6 +87,10 @@
     return
 
 
+class ReadInterruptedError(Exception):
+    """A read was interrupted before any bytes arrived; the next read continues it."""
+
+
 class ReadAhead:
     """Reads a stream for a link, also while the connection is idle.
 
@@ -97,18 +101,47 @@
     def __init__(self, stream: Stream) -> None:
         self._stream = stream
         self._pending_read: asyncio.Future[bytes] | None = None
+        self._waiter: asyncio.Future[bool] | None = None  # done when the read is (True) or is interrupted
         self._on_activity: Callable[[], None] = _do_nothing
 
     async def read(self) -> bytes:
-        """Return the next bytes as soon as any arrive."""
+        """Return the next bytes as soon as any arrive, after others had their turn in the event loop.
+
+        Raises:
+            StreamClosedError: The stream has ended.
+            ReadInterruptedError: ``interrupt`` was called; the read of the stream continues.
+        """
         if self._pending_read is None:
-            return await receive(self._stream)
+            self._pending_read = asyncio.ensure_future(self._stream.read_bytes(READ_SIZE_BYTES, partial=True))
+            if self._pending_read.done():
+                await asyncio.sleep(0)
         pending = self._pending_read
-        self._pending_read = None
         try:
-            return await pending
+            if not pending.done() and not await self._wait_for(pending):
+                raise ReadInterruptedError
+            self._pending_read = None
+            return pending.result()
         finally:
-            del pending  # breaks the reference cycle that ``receive`` describes
+            del pending  # breaks a reference cycle: the exception, its traceback, this frame and the future
+
+    def interrupt(self) -> None:
+        """End a waiting ``read`` without bytes."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(False)
+
+    async def _wait_for(self, pending: asyncio.Future[bytes]) -> bool:
+        """Return True once the pending read is done, and False if it is interrupted."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        pending.add_done_callback(self._wake)
+        try:
+            return await self._waiter
+        finally:
+            self._waiter = None
+            pending.remove_done_callback(self._wake)
+
+    def _wake(self, _: asyncio.Future[bytes]) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(True)
 
     def enter_idle(self, on_activity: Callable[[], None]) -> None:
         """Enter the idle state; ``on_activity`` is called if bytes arrive in it, or the stream ends."""
@@ -166,6 +199,10 @@
         """Bytes received of an answer that has begun; None, as most protocols do not tell."""
         return None
 
+    def pass_on_begun_answer(self) -> bool:
+        """Return False, as most protocols give an answer as a whole."""
+        return False
+
     def close(self) -> None:
         """Close the stream, even during an exchange."""
         self.closed_locally = True
@@ -262,6 +299,7 @@
     "READ_SIZE_BYTES",
     "IOStream",
     "ReadAhead",
+    "ReadInterruptedError",
     "Stream",
     "StreamClosedError",
     "StreamLink",
--- a/sabledyke/store/sql_link.py
+++ b/sabledyke/store/sql_link.py
@@ -62,6 +62,10 @@
         """Return True if the pool of sessions is still open."""
         return not self._pool.closed
 
+    def pass_on_begun_answer(self) -> bool:
+        """Return False, as a database gives its answer as a whole."""
+        return False
+
     def close(self) -> None:
         """Close the link, and abort the session that it uses."""
         self.closed = True
--- a/tests/net/test_long_answers.py
+++ b/tests/net/test_long_answers.py
@@ -13,7 +13,7 @@
 
 from sabledyke.errors import AnswerBrokenError
 from sabledyke.net.fair_queue import FairQueue
-from sabledyke.net.http_body_stream import HttpBodyStream
+from sabledyke.net.http_body_stream import STALL_TIMEOUT_S, HttpBodyStream
 from sabledyke.net.memory_budget import MemoryBudget, MemoryUse
 from sabledyke.protocol.http import HttpParser
 from tests.standins import Reader, Writer, read_http
@@ -303,3 +303,46 @@
         writer.transport.abort()
 
     run_scenario(tmp_path, BreakingNode(NODE_CONTEXT), scenario, tls_frontends=("HTTP",))
+
+
+@pytest.mark.parametrize("framing", ["chunked", "connection"])
+def test_a_short_answer_without_a_length_that_never_ends_is_broken_off(framing: str) -> None:
+    """Guards against a client that waits for the end of an answer long after its deadline."""
+
+    async def stops(writer: Writer) -> bytes | None:
+        writer.write(_head(framing) + _frame(framing, b"part"))
+        await asyncio.sleep(20)
+        return None
+
+    async def scenario(rig: Rig) -> None:
+        rig.http.answer = stops
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        began_s = asyncio.get_running_loop().time()
+        head = await _ask(reader, writer, "stops")
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+            await _read_body(reader, head)
+        assert asyncio.get_running_loop().time() - began_s < STALL_TIMEOUT_S
+        writer.close()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("size_bytes", [len(BODY) // 8, len(BODY)])
+def test_an_answer_with_a_length_is_given_up_at_the_objective_if_it_is_short(size_bytes: int) -> None:
+    async def late(writer: Writer) -> bytes | None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size_bytes)
+        await writer.drain()
+        await asyncio.sleep(FIRST_BYTES_S + 0.3)
+        return BODY[:size_bytes]
+
+    async def scenario(rig: Rig) -> None:
+        rig.http.answer = late
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        head = await _ask(reader, writer, "late")
+        if size_bytes == len(BODY):
+            assert await _read_body(reader, head) == BODY
+        else:
+            assert head.startswith(b"HTTP/1.1 503")
+        writer.close()
+
+    play(scenario)
