Do not time out a client whose long answer waits for its node

What callers saw: a long answer was cut off 3.76 s after its request when its node paused within it for 4 s (deadline 2.5 s).

Cause: the time in which a client has to read an answer ran also while the next part had not come from the node.

Change: no time-out of the client while the writer waits for the node, which has a time-out of its own (5 s without a byte).

--- a/sabledyke/net/answer_writer.py
+++ b/sabledyke/net/answer_writer.py
@@ -37,6 +37,7 @@
 
     Attributes:
         busy: True while an answer is being sent.
+        awaits_node: True while the next part of a long answer has not arrived from its node.
         last_answer_begun: True once an answer was begun after which the connection ends.
     """
 
@@ -49,6 +50,7 @@
         on_broken: Callable[[], None],
     ) -> None:
         self.busy = False
+        self.awaits_node = False
         self.last_answer_begun = False
         self._stream = stream
         self._memory_budget = memory_budget
@@ -126,7 +128,7 @@
         sent_bytes = 0
         try:
             await self._stream.write(encode_streamed_head(body.length_bytes, chunked=chunked, close=close))
-            while fragment := await self._next_fragment(body, deadline_s, sent_bytes):
+            while fragment := await self._await_fragment(body, deadline_s, sent_bytes):
                 sent_bytes += len(fragment)
                 self._on_progress()
                 use.set(len(fragment))
@@ -136,6 +138,13 @@
         finally:
             use.set(0)
 
+    async def _await_fragment(self, body: BodyStream, deadline_s: float, sent_bytes: int) -> bytes:
+        self.awaits_node = True
+        try:
+            return await self._next_fragment(body, deadline_s, sent_bytes)
+        finally:
+            self.awaits_node = False
+
     async def _next_fragment(self, body: BodyStream, deadline_s: float, sent_bytes: int) -> bytes:
         """Return the next part of a long answer, and empty bytes at its end.
 
--- a/sabledyke/net/http_frontend.py
+++ b/sabledyke/net/http_frontend.py
@@ -91,9 +91,14 @@
         return self._parser.buffered_bytes
 
     def timeout_s(self, idle_timeout_s: float) -> float:
-        """Return the time-out of the current state: in flight, writing, receiving or idle."""
+        """Return the time-out of the current state: in flight, writing, receiving or idle.
+
+        Guards against closing the connection of a client that waits for its node, as if it did not read.
+        """
         if self._request_id is not None:
             return inf  # the request's deadline is the limit
+        if self._writer.awaits_node:
+            return inf  # the node's time-out is the limit
         if self._writer.busy:
             return self._frontend.write_timeout_s
         if self.never_requested or not self._parser.idle:
