--- a/tests/application/test_memory.py
+++ b/tests/application/test_memory.py
@@ -15,6 +15,7 @@
 from tests.transcripts.support import Deployment, Response, exchange, request, response, run_scenario
 
 CLIENTS = 330
+MANY_CLIENTS = 650  # nearly as many as 1,024 descriptors allow
 SOCKETS = 1024
 PLAY_S = 6.0  # more than two time-outs of partly received requests
 SHORT_S = 0.05
@@ -115,26 +116,35 @@
     raise AssertionError
 
 
+async def _play(folder: Path, picture: Picture, client_count: int, memory_mb: int) -> None:
+    async with Deployment(folder, _answer, sockets=SOCKETS, memory_mb=memory_mb) as deployment:
+        numbers = itertools.count()
+        clients = [
+            asyncio.create_task(_be_client(deployment.front, picture, numbers)) for _ in range(client_count)
+        ]
+        answered = await _read_alone(deployment.front)
+        peak_mb = _peak_mb(deployment.process.pid)
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+        assert deployment.process.returncode is None
+        assert peak_mb < memory_mb
+        assert answered >= MIN_ANSWERS
+
+
 @pytest.mark.parametrize("memory_mb", [192, 96])
 @pytest.mark.parametrize("picture", PICTURES)
 def test_the_process_keeps_to_its_memory_limit_whatever_its_clients_do(
     tmp_path: Path, picture: Picture, memory_mb: int
 ) -> None:
     """Guards against a process that is killed for its memory because of clients that are slow, or stop."""
+    run_scenario(_play(tmp_path, picture, CLIENTS, memory_mb))
+
 
-    async def scenario() -> None:
-        async with Deployment(tmp_path, _answer, sockets=SOCKETS, memory_mb=memory_mb) as deployment:
-            numbers = itertools.count()
-            clients = [
-                asyncio.create_task(_be_client(deployment.front, picture, numbers)) for _ in range(CLIENTS)
-            ]
-            answered = await _read_alone(deployment.front)
-            peak_mb = _peak_mb(deployment.process.pid)
-            for client in clients:
-                client.cancel()
-            await asyncio.gather(*clients, return_exceptions=True)
-            assert deployment.process.returncode is None
-            assert peak_mb < memory_mb
-            assert answered >= MIN_ANSWERS
-
-    run_scenario(scenario())
+@pytest.mark.parametrize("memory_mb", [64, 32])
+@pytest.mark.parametrize("picture", PICTURES)
+def test_many_descriptors_do_not_exceed_a_small_memory_limit(
+    tmp_path: Path, picture: Picture, memory_mb: int
+) -> None:
+    """Guards against as many connections as descriptors allow in a process with the least memory."""
+    run_scenario(_play(tmp_path, picture, MANY_CLIENTS, memory_mb))
