Limit a head to 256 header lines

Cause: a line costs 3 to 4 microseconds, so that a head of 16 KiB costs 8 ms; its limit was in bytes alone. Change: 431 after 256 lines, for all peers. The tests of parsing costs lift the limit, as they need many lines to see the cost, and are otherwise as they were; a new one holds the limit and fails before.

--- a/sabledyke/protocol/http/head.py
+++ b/sabledyke/protocol/http/head.py
@@ -4,7 +4,7 @@
 
 import re
 
-from sabledyke.protocol.http.message import HttpError, HttpMessage
+from sabledyke.protocol.http.message import MAX_HEADER_LINES, HttpError, HttpMessage
 from sabledyke.protocol.platform_names import REQUEST_ID
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -44,13 +44,17 @@
         self._header_names = header_names
         self._message = _parse_status_line(first_line) if response else _parse_request_line(first_line)
         self._values: dict[str, bytearray] = {}
+        self._line_count = 0  # header lines so far
 
     def add_header(self, line: bytes) -> None:
         """Parse a header line.
 
         Raises:
-            HttpError: The line is malformed, or repeats a header that must not be repeated.
+            HttpError: The line is malformed, repeats a header that must not be repeated, or is one too many.
         """
+        self._line_count += 1
+        if self._line_count > MAX_HEADER_LINES:
+            raise HttpError("too many header lines", 431)
         name, colon, value = line.partition(b":")
         if not colon or not _TOKEN.fullmatch(name) or _FORBIDDEN_IN_VALUE.search(value):
             raise HttpError("malformed header line")
--- a/sabledyke/protocol/http/message.py
+++ b/sabledyke/protocol/http/message.py
@@ -7,6 +7,8 @@
 from sabledyke.errors import SabledykeError
 
 MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADER_LINES = 256
+"""Limit of the header lines of a head: a line costs much more time than its bytes."""
 MAX_BODY_BYTES = 64 * 1024
 """Limit of a request's body."""
 MAX_RESPONSE_BODY_BYTES = 1024 * 1024
--- a/tests/protocol/test_parsing_cost.py
+++ b/tests/protocol/test_parsing_cost.py
@@ -10,6 +10,7 @@
 
 from sabledyke.protocol import nvme
 from sabledyke.protocol.http import HttpError, HttpParser
+from sabledyke.protocol.http.message import MAX_HEADER_LINES
 from sabledyke.protocol.http.parser import MAX_STEPS_PER_CALL
 from tests.protocol.support import feed_target, host_session, new_target, parse_http
 
@@ -22,6 +23,13 @@
 MAX_PDUS_PER_CALL = 64
 
 
+@pytest.fixture(autouse=True)
+def _any_number_of_header_lines(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lift the limit of header lines, below which the cost of many cannot be seen."""
+    if request.node.get_closest_marker("header_limit") is None:
+        monkeypatch.setattr("sabledyke.protocol.http.head.MAX_HEADER_LINES", LARGE)
+
+
 def _parse(data: bytes, read_bytes: int = READ_BYTES, *, responses: bool = False) -> None:
     parser = HttpParser(responses=responses)
     reads = [data[offset : offset + read_bytes] for offset in range(0, len(data), read_bytes)]
@@ -147,6 +155,21 @@
         parse_http(HttpParser(), [b"\r\n" * 200] * 100)
 
 
+@pytest.mark.header_limit
+@pytest.mark.parametrize("responses", [False, True])
+def test_the_lines_of_a_head_are_limited(*, responses: bool) -> None:
+    """Guards against heads of very many short fields, each of which costs much more time than its bytes."""
+    head = b"HTTP/1.1 200 OK\r\n" if responses else REQUEST
+    (message,) = parse_http(
+        HttpParser(responses=responses),
+        [head + b"a:\r\n" * (MAX_HEADER_LINES - 1) + b"Content-Length: 0\r\n\r\n"],
+    )
+    assert message.headers["content-length"] == "0"
+    with pytest.raises(HttpError, match="too many header lines") as error:
+        parse_http(HttpParser(responses=responses), [head + b"a:\r\n" * (MAX_HEADER_LINES + 1)])
+    assert error.value.status == 431
+
+
 def test_the_headers_that_are_not_kept_take_no_memory() -> None:
     """Guards against heads of very many short fields, whose objects take many times their bytes."""
     parser = HttpParser(header_names=frozenset({"req-id"}))
