Pass long answers on beyond the end of a shutdown, until they end or the kill comes

What callers saw: long answers in progress 0.12 s before the earliest kill were cut off by the program, and reads whose node had begun its answer were refused then.

Cause: a shutdown closed all connections at its end, as no answer could outlast the longest deadline before long ones were passed on.

Change: connections that pass on a long answer stay open until it ends, at most 60 s; answers that have begun are passed on before the final answers. The soak draws the longest deadline (and so the earliest kill), long answers, SIGKILLs with a start, and up to 640 idle connections.

Why it works: nothing that is owed waits for the end of such an answer, and only the kill can end it.

--- a/sabledyke/application/shutdown_driver.py
+++ b/sabledyke/application/shutdown_driver.py
@@ -19,6 +19,7 @@
     ShutdownPhase.FINAL_ANSWERS: "final answers",
 }
 POLL_INTERVAL_S = 0.01  # interval between checks of the phase
+LONG_ANSWERS_TIMEOUT_S = 60.0  # longest time after the shutdown for long answers to end
 SETTLE_S = 0.04  # time before the end during which nothing is read and pending answers are sent
 SETTLE_POLL_INTERVAL_S = 0.002  # interval between checks for unanswered requests while settling
 MIN_SETTLE_CHECKS = 4  # minimum number of these checks, also if the event loop is late
@@ -35,6 +36,7 @@
         self._listeners = listeners  # open listeners, shared with the life cycle
         self._closing_listeners: list[Listener] = []
         self._planned = planned
+        self._hastened = False
         self._loop = asyncio.get_running_loop()
 
     async def run(self) -> None:
@@ -50,12 +52,29 @@
         if lateness.longest_s >= LOGGED_S:
             log.emit("loop", f"late in all: {lateness.describe()}")
         self._log_unfinished()
-        # Clients may still be connected that sent part of a request or do not read their answers.
+        await self._finish_long_answers()
         for frontend in self._assembly.frontends:
             frontend.close()
 
+    async def _finish_long_answers(self) -> None:
+        """Close all connections but those that pass on a long answer, and wait for these.
+
+        Guards against cutting off an answer that its node is still giving: the kill may come later than at
+        its earliest time, and nothing else is owed any more. Other clients may still be connected that sent
+        part of a request or do not read their answers. A shutdown that was shortened does not wait.
+        """
+        end_s = self._loop.time() + LONG_ANSWERS_TIMEOUT_S
+        while self._loop.time() < end_s and not self._hastened:
+            open_frontends = [
+                frontend for frontend in self._assembly.frontends if frontend.close(keep_long_answers=True)
+            ]
+            if not open_frontends:
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     def hasten(self) -> None:
         """Shorten the shutdown, after a second SIGINT."""
+        self._hastened = True
         self.plan.hasten(self._loop.time())
         self._set_end()
 
@@ -73,6 +92,8 @@
             if phase is not logged_phase:
                 self._log_phase(phase)
                 logged_phase = phase
+            if phase is ShutdownPhase.FINAL_ANSWERS:
+                self._assembly.pool.pass_on_begun_answers()
             if self._closes_idle_connections(phase):
                 for frontend in self._assembly.frontends:
                     frontend.close_idle(self._loop.time(), POLL_INTERVAL_S)
--- a/sabledyke/net/answer_writer.py
+++ b/sabledyke/net/answer_writer.py
@@ -60,6 +60,11 @@
         self._body: BodyStream | None = None  # the long answer that is being passed on
         self._streaming: asyncio.Task[None] | None = None  # passes it on
 
+    @property
+    def passes_on(self) -> bool:
+        """True while a long answer is passed on."""
+        return self._body is not None
+
     def close(self) -> None:
         """Stop a long answer and call back no more, as the connection is closed."""
         self._on_sent = _ignore_sent  # the callbacks refer to the connection, which refers to this writer
--- a/sabledyke/net/client_connection.py
+++ b/sabledyke/net/client_connection.py
@@ -77,6 +77,11 @@
         """True if bytes have arrived that ``serve`` has not processed; an end of the stream alone is none."""
         return self.has_unprocessed_input or streams.has_input(self.stream)
 
+    @property
+    def passes_on_answer(self) -> bool:
+        """True while a long answer is passed on, which may take longer than its request's deadline."""
+        return False
+
     @property
     def partial_bytes(self) -> int:
         """Buffered bytes of a partly received request that can be rejected; 0 if there is none."""
--- a/sabledyke/net/close_reason.py
+++ b/sabledyke/net/close_reason.py
@@ -9,9 +9,9 @@
     """Why a connection of a client was closed; the values are part of the metrics' names."""
 
     CLIENT = "client"  # the client closed it
-    ANSWERED = "answered"  # its last answer was sent
+    ANSWERED = "answered"  # the last answer was sent
     BAD_REQUEST = "bad_request"  # the client violated its protocol
-    IDLE = "idle"  # it sent no request in time
+    IDLE = "idle"  # no request arrived in time
     PARTIAL_REQUEST = "partial_request"  # a request was not completed in time
     UNREAD_ANSWER = "unread_answer"  # the client did not read an answer in time
     BROKEN_ANSWER = "broken_answer"  # a storage node broke off an answer that was being passed on
--- a/sabledyke/net/connection_pool.py
+++ b/sabledyke/net/connection_pool.py
@@ -106,6 +106,16 @@
             attempt.log_begun_answer("cancelled")
             self._complete(attempt, AttemptResult(Outcome.CANCELLED, attempt.abort()))
 
+    def pass_on_begun_answers(self) -> None:
+        """Pass on each answer that has begun and may be a long one, as the program is about to end.
+
+        Guards against refusing requests whose answers their nodes are giving.
+        """
+        for attempt in list(self._attempts.values()):
+            if attempt.connection is not None and attempt.connection.link.pass_on_begun_answer():
+                assert attempt.timer is not None
+                attempt.timer.cancel()
+
     def close_idle(self, node: NodeId) -> None:
         """Close all idle connections to a node."""
         for connection in self._idle.pop(node, []):
--- a/sabledyke/net/eviction.py
+++ b/sabledyke/net/eviction.py
@@ -23,13 +23,13 @@
 
 
 class EvictionKind(Enum):
-    """What a connection is doing that could be closed for a new one."""
+    """States of a connection that could be closed for a new one."""
 
-    FINISHED = auto()  # it has its last answer, and was given time to read it
-    UNUSED = auto()  # it has sent no read or write
-    PARTIAL = auto()  # it has stopped within a request
+    FINISHED = auto()  # the last answer was sent, and the client had time to read it
+    UNUSED = auto()  # no read or write was sent
+    PARTIAL = auto()  # the client has stopped within a request
     BETWEEN_REQUESTS = auto()
-    YOUNG = auto()  # it may yet send its request, or the rest of it
+    YOUNG = auto()  # a request, or the rest of one, may be on its way
     PROCESSING = auto()  # input of it waits to be parsed
     BUSY = auto()  # a request of it is in work
 
--- a/sabledyke/net/frontend.py
+++ b/sabledyke/net/frontend.py
@@ -204,13 +204,23 @@
         for client in list(self.clients):
             client.reject_partial_request()
 
-    def close(self) -> None:
-        """Close all connections and cancel pending handshakes."""
+    def close(self, *, keep_long_answers: bool = False) -> bool:
+        """Close all connections and cancel pending handshakes.
+
+        Args:
+            keep_long_answers: Whether connections that pass on a long answer stay open.
+
+        Returns:
+            True if a connection stays open.
+        """
         for task in self._pending_handshakes:
             task.cancel()
         for client in list(self.clients):
+            if keep_long_answers and client.passes_on_answer:
+                continue
             client.set_close_reason(CloseReason.END)
             client.close()
+        return bool(self.clients)
 
     def _run_guard(self, sock: socket.socket, guard: Guard) -> None:
         """Admit a connection after it has passed the guard; no client is evicted for it earlier.
--- a/sabledyke/net/http_frontend.py
+++ b/sabledyke/net/http_frontend.py
@@ -83,6 +83,11 @@
         """True if all input that was read is answered, or follows a last answer that is already sent."""
         return super().settled and (self._writer.last_answer_begun or self._parser.idle)
 
+    @property
+    def passes_on_answer(self) -> bool:
+        """True while a long answer is passed on, which may take longer than its request's deadline."""
+        return self._writer.passes_on
+
     @property
     def partial_bytes(self) -> int:
         """Buffered bytes of a partly received request that can be rejected; 0 if there is none."""
@@ -161,7 +166,7 @@
                     await self._resumption
                 self._parser.feed(self._accept_input(data))
                 del data  # a waiting connection holds only the bytes of its parser
-                self._count_memory()  # before it waits for its turn to be parsed
+                self._count_memory()  # input counts already while its parsing waits for a slot
                 await self._process_input()
                 self._count_memory()
                 self._frontend.relieve_memory()
