--- a/sabledyke/application/process_memory.py
+++ b/sabledyke/application/process_memory.py
@@ -9,7 +9,7 @@
 
 from sabledyke import log
 
-STATUS_FILE = Path("/proc/self/statm")  # its second number is the resident memory in pages
+STATUS_FILE = Path("/proc/self/statm")  # second number: resident memory in pages
 POLL_INTERVAL_S = 1.0
 LOGGED_SHARES = (0.5, 0.75, 0.9)  # shares of the limit whose crossing is logged
 HYSTERESIS_SHARE = 0.05  # share of the limit by which the memory must fall before a share is logged again
@@ -17,7 +17,7 @@
 
 
 def resident_bytes() -> int:
-    """Return the resident memory of this process in bytes; 0 if the system does not tell it."""
+    """Return the resident memory of this process in bytes; 0 if that is unknown."""
     try:
         fields = STATUS_FILE.read_text().split()
     except OSError:
@@ -83,7 +83,7 @@
             )
 
     def stop(self) -> None:
-        """Stop polling."""
+        """Cancel all further polls."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/sabledyke/application/resource_limits.py
+++ b/sabledyke/application/resource_limits.py
@@ -15,7 +15,7 @@
 MIN_CONNECTIONS = 64  # connections of HTTP clients and to nodes that there are with any memory
 CONNECTIONS_SHARE = 0.25  # share of the remaining memory that the objects of connections may use
 MIN_BUDGET_BYTES = 1 << 20  # memory for requests and answers that there is with any limit
-BUDGET_SHARE = 0.3  # share of the memory beside them; requests use more of it, and allocations waste some
+BUDGET_SHARE = 0.3  # share of the other memory; requests exceed it, and allocations waste some
 NODE_DESCRIPTOR_DIVISOR = 3  # one in three descriptors is for storage nodes, the others are for clients
 RESERVED_DESCRIPTORS = (
     32  # for listeners, discovery, NVMe associations, the log, and files of the Python runtime
@@ -51,13 +51,13 @@
 
 
 def _connection_count(descriptors: int, remaining_bytes: float, other_clients: int) -> int:
-    """Return the number of connections of clients and to storage nodes together.
+    """Return the total number of connections of clients and to storage nodes.
 
     Guards against more connections than the memory allows, where many descriptors come with little memory.
 
     Args:
         descriptors: File descriptors that the process may have.
-        remaining_bytes: Memory beside the program itself.
+        remaining_bytes: Memory that the program itself does not need.
         other_clients: Connections of clients that do not speak HTTP.
     """
     by_memory = int(CONNECTIONS_SHARE * remaining_bytes) // CONNECTION_BYTES
